--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -5,7 +5,7 @@
 	"log"
 	"time"
 
-	"terndeal/balance"
+	"lockroad/balance"
 )
 
 // A relay hands events over with its clock and carries out what comes back.
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"terndeal/balance"
-	"terndeal/internal/wire"
+	"lockroad/balance"
+	"lockroad/internal/wire"
 )
 
 func main() {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -11,7 +11,7 @@
 	"math"
 	"time"
 
-	"terndeal/balance"
+	"lockroad/balance"
 )
 
 const (
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -7,7 +7,7 @@
 	"math"
 	"time"
 
-	"terndeal/balance"
+	"lockroad/balance"
 )
 
 // Codes of the actions.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"terndeal/balance"
+	"lockroad/balance"
 )
 
 // object is a JSON object whose keys are looked up one by one, so that a
--- a/internal/wire/settings_test.go
+++ b/internal/wire/settings_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"terndeal/balance"
+	"lockroad/balance"
 )
 
 const sample = `{
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"terndeal/balance"
+	"lockroad/balance"
 )
 
 // Example frames of the wire's description.
