--- /dev/null
+++ b/balance/facade.go
@@ -0,0 +1,303 @@
+package balance
+
+import (
+	"cmp"
+	"container/heap"
+	"context"
+	"sync"
+	"time"
+
+	"lockroad/internal/assert"
+)
+
+// This file is the module's face to code that talks to a network: three calls
+// in blocking style. Pick waits for the next thing to do for a transaction,
+// Report tells what has happened, Tick lets time go on. Only the goroutine that
+// calls Tick touches the Balancer; nothing here decides anything.
+
+// Ask is what a client asks for.
+type Ask struct {
+	Class  int
+	Item   uint64
+	Group  uint64
+	GiveUp time.Duration // on the clock that Tick is given
+	Load   float64       // in seconds of work a second; 0 if unknown
+	Return bool          // the client is back after a break or a move
+	At     ServerID      // the server that already has it open, if Open
+	Open   bool
+}
+
+// StepKind says what is to be done next for a transaction.
+type StepKind uint8
+
+const (
+	StepPass        StepKind = iota // begin a proxy pass to Server
+	StepUp                          // the pass is accepted: it is the client's
+	StepMove                        // send the client away politely; final
+	StepOver                        // the connection has ended; final
+	StepUnavailable                 // answer: unavailable, come back after Wait; final
+	StepFailed                      // answer: failed; final
+)
+
+// Step is one thing to do for a transaction.
+type Step struct {
+	Kind   StepKind
+	Server ServerID
+	Wait   time.Duration // the pass's time-out, or when to come back; 0 if there is none
+}
+
+// Ticket stands for one transaction at a Facade.
+type Ticket struct {
+	ask   Ask
+	begun bool // only its own goroutine looks
+	id    RequestID
+	at    ServerID  // of the pass that is out
+	steps chan Step // a pass, its acceptance and a final step fit without a reader
+	over  bool
+}
+
+// NewTicket returns the ticket of a transaction that has come in.
+func NewTicket(ask Ask) *Ticket { return &Ticket{ask: ask, steps: make(chan Step, 8)} }
+
+// Left returns how long its client will still wait at a time.
+func (t *Ticket) Left(now time.Duration) time.Duration { return max(0, t.ask.GiveUp-now) }
+
+// News is something that has happened: one of the types below.
+type News interface{ news() }
+
+// Stands says that the pass of a transaction was accepted.
+type Stands struct {
+	Ticket *Ticket
+	Took   time.Duration
+}
+
+// Ended says how the pass, or the connection it became, has ended.
+type Ended struct {
+	Ticket *Ticket
+	How    Status
+}
+
+// Left says that the client has gone, and its pass with it.
+type Left struct{ Ticket *Ticket }
+
+// Load tells the load of an open connection, in seconds of work a second.
+type Load struct {
+	Ticket *Ticket
+	Load   float64
+}
+
+// Delay tells how long a message takes at a server.
+type Delay struct {
+	Server ServerID
+	Delay  time.Duration
+}
+
+// Farm is news of the servers.
+type Farm struct {
+	Kind    ListKind
+	Servers []Server
+}
+
+func (Stands) news() {}
+func (Ended) news()  {}
+func (Left) news()   {}
+func (Load) news()   {}
+func (Delay) news()  {}
+func (Farm) news()   {}
+
+// mailboxSize bounds what waits for a turn; who reports more than that waits.
+const mailboxSize = 4096
+
+// Facade drives one Balancer.
+type Facade struct {
+	b       *Balancer
+	mailbox chan any // a *Ticket that begins, or News
+	wakeup  chan struct{}
+	tickets map[RequestID]*Ticket
+	timers  timerHeap
+	lastID  RequestID
+	now     time.Duration
+
+	stop sync.Once
+	done chan struct{}
+}
+
+// NewFacade returns a Facade of a Balancer that has just started. Its servers
+// come without being asked for.
+func NewFacade(s Settings, seed uint64) *Facade {
+	s.Ask = false
+	return &Facade{
+		b:       New(s, seed),
+		mailbox: make(chan any, mailboxSize),
+		wakeup:  make(chan struct{}, 1),
+		tickets: make(map[RequestID]*Ticket),
+		done:    make(chan struct{}),
+	}
+}
+
+// Pick blocks until there is something to do for a transaction, and says what.
+// It fails only when ctx ends first.
+func (f *Facade) Pick(ctx context.Context, t *Ticket) (Step, error) {
+	if !t.begun {
+		t.begun = true
+		f.post(t)
+	}
+	select {
+	case s := <-t.steps:
+		return s, nil
+	default:
+	}
+	select {
+	case s := <-t.steps:
+		return s, nil
+	case <-ctx.Done():
+		return Step{}, context.Cause(ctx)
+	}
+}
+
+// Report tells what has happened. It takes effect in the next turn.
+func (f *Facade) Report(n News) { f.post(n) }
+
+func (f *Facade) post(what any) {
+	select {
+	case f.mailbox <- what:
+	case <-f.done:
+		return
+	}
+	select {
+	case f.wakeup <- struct{}{}:
+	default:
+	}
+}
+
+// Waiting yields a value when there is mail for a turn.
+func (f *Facade) Waiting() <-chan struct{} { return f.wakeup }
+
+// Close lets those go who report after the last turn.
+func (f *Facade) Close() { f.stop.Do(func() { close(f.done) }) }
+
+// Tick does one turn at the clock: it takes the mail that waits, runs the timers
+// that are due and wakes those for whom there is something to do. It returns the
+// time of the next timer, and false where there is none.
+func (f *Facade) Tick(now time.Duration) (time.Duration, bool) {
+	f.now = now
+	for n := len(f.mailbox); n > 0; n-- {
+		f.open(<-f.mailbox)
+	}
+	for len(f.timers) > 0 && f.timers[0].at <= now {
+		due := heap.Pop(&f.timers).(alarm)
+		f.handle(Timer{Token: due.token})
+	}
+	if len(f.timers) == 0 {
+		return 0, false
+	}
+	return f.timers[0].at, true
+}
+
+// open takes one letter. News of a transaction that is over is left aside: the
+// final step and the news have crossed.
+func (f *Facade) open(mail any) {
+	switch m := mail.(type) {
+	case *Ticket:
+		f.begin(m)
+	case Stands:
+		if t := m.Ticket; !t.over {
+			f.handle(Standing{Request: t.id, Server: t.at, Took: m.Took})
+			f.wake(t, Step{Kind: StepUp, Server: t.at})
+		}
+	case Ended:
+		if t := m.Ticket; !t.over {
+			up := f.b.standing(t.id)
+			f.handle(Outcome{Request: t.id, Server: t.at, Status: m.How, Done: up})
+			if up {
+				f.finish(t, Step{Kind: StepOver})
+			}
+		}
+	case Left:
+		if t := m.Ticket; !t.over && t.id != 0 {
+			f.handle(ClientLeft{Request: t.id})
+			f.finish(t, Step{Kind: StepOver})
+		}
+	case Load:
+		if t := m.Ticket; !t.over {
+			f.handle(LoadNote{Request: t.id, Server: t.at, Load: m.Load})
+		}
+	case Delay:
+		f.handle(DelayNote{Server: m.Server, Delay: m.Delay})
+	case Farm:
+		f.handle(ServerList{Kind: m.Kind, Servers: m.Servers})
+	}
+}
+
+func (f *Facade) begin(t *Ticket) {
+	f.lastID++
+	t.id = f.lastID
+	f.tickets[t.id] = t
+	q := Request{
+		ID: t.id, Class: t.ask.Class, Item: t.ask.Item, Group: t.ask.Group,
+		Left: max(0, t.ask.GiveUp-f.now), Load: t.ask.Load, Return: t.ask.Return,
+	}
+	if t.ask.Open {
+		t.at = t.ask.At
+		f.handle(Resumed{Request: q, Server: t.at})
+		f.wake(t, Step{Kind: StepUp, Server: t.at})
+		return
+	}
+	f.handle(q)
+}
+
+// handle has the Balancer take an event, and hands out what it wants done.
+func (f *Facade) handle(ev Event) {
+	for _, a := range f.b.Handle(f.now, ev) {
+		switch a := a.(type) {
+		case Send:
+			t := f.tickets[a.Request]
+			t.at = a.Server
+			f.wake(t, Step{Kind: StepPass, Server: a.Server, Wait: a.Timeout})
+		case Refuse:
+			f.finish(f.tickets[a.Request], Step{Kind: StepUnavailable, Wait: a.RetryAfter})
+		case Fail:
+			f.finish(f.tickets[a.Request], Step{Kind: StepFailed})
+		case Move:
+			f.finish(f.tickets[a.Request], Step{Kind: StepMove})
+		case SetTimer:
+			heap.Push(&f.timers, alarm{f.now + a.After, a.Token})
+		}
+	}
+}
+
+func (f *Facade) finish(t *Ticket, s Step) {
+	t.over = true
+	delete(f.tickets, t.id)
+	f.wake(t, s)
+}
+
+// wake never blocks the turn: a ticket is told at most a pass, its acceptance
+// and a final step before its reader has to look.
+func (f *Facade) wake(t *Ticket, s Step) {
+	select {
+	case t.steps <- s:
+	default:
+		assert.That(false, "a ticket's steps are read as they come")
+	}
+}
+
+type alarm struct {
+	at    time.Duration
+	token uint32
+}
+
+// timerHeap holds the timers that are set, the first due on top.
+type timerHeap []alarm
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(h[i].at, h[j].at), cmp.Compare(h[i].token, h[j].token)) < 0
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)   { *h = append(*h, x.(alarm)) }
+func (h *timerHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -268,3 +268,9 @@
 		r.ring[i].until = math.MinInt64
 	}
 }
+
+// standing tells whether a request's connection is up.
+func (b *Balancer) standing(id RequestID) bool {
+	q := b.requests[id]
+	return q != nil && q.up
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,298 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lockroad/balance"
+	"lockroad/internal/assert"
+	"lockroad/internal/memory"
+)
+
+// Ask is what a front hands over with a transaction.
+type Ask struct {
+	balance.Ask
+	Front string
+	Name  string // as the client calls it
+	Class string
+}
+
+// Link is an application server's side of a transaction, once it is up.
+type Link interface {
+	// Close ends it at once, whatever is under way.
+	Close()
+}
+
+// Exchange is a front's side of one transaction. Core never has two passes out
+// at once, and calls Pass and Join from one goroutine, the rest from another.
+type Exchange interface {
+	// Pass carries the transaction to an application server and waits for the
+	// answer. It returns a Link only with balance.OK. It ends when ctx does, and
+	// has closed its connection when it returns without a Link.
+	Pass(ctx context.Context, to memory.Server, wait time.Duration) (Link, balance.Status)
+	// Join tells the client that it is up and passes on what both sides say,
+	// until the end of either. It returns how that end came about.
+	Join(ctx context.Context, link Link, pulse *Pulse) balance.Status
+	// Unavailable, Failed and Move end the transaction at the client.
+	Unavailable(comeBack time.Duration)
+	Failed()
+	Move()
+}
+
+// Core runs transactions over the module.
+type Core struct {
+	Clock        Clock
+	Farm         *memory.Farm
+	Transactions *memory.Transactions
+	Counters     *memory.Counters
+	Connect      time.Duration // bound of a connection's set-up
+
+	facade *balance.Facade
+	pulses *pulses
+
+	leaving context.Context // ends once everyone is to move
+	moveAll context.CancelFunc
+}
+
+// New returns a Core with nothing in it.
+func New(s balance.Settings, seed uint64, clock Clock) *Core {
+	leaving, moveAll := context.WithCancel(context.Background())
+	return &Core{
+		Clock:        clock,
+		Farm:         memory.NewFarm(),
+		Transactions: memory.NewTransactions(),
+		Counters:     &memory.Counters{},
+		Connect:      s.Connect,
+		facade:       balance.NewFacade(s, seed),
+		pulses:       newPulses(s, clock),
+		leaving:      leaving,
+		moveAll:      moveAll,
+	}
+}
+
+// Listed takes news of the farm: at once for passes about to go out, and for
+// the module with its next turn.
+func (c *Core) Listed(kind balance.ListKind, servers []balance.Server, addresses []string) {
+	if kind != balance.ListDelta {
+		c.Farm.Keep(servers)
+	}
+	for i, s := range servers {
+		c.Farm.Update(s.ID, addresses[i], s.State)
+	}
+	c.facade.Report(balance.Farm{Kind: kind, Servers: servers})
+}
+
+// Run takes turns until ctx ends.
+func (c *Core) Run(ctx context.Context) error {
+	defer c.facade.Close()
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.facade.Waiting():
+		case <-alarm.C:
+		}
+		now := c.Clock.Now()
+		alarm.Stop()
+		if next, ok := c.facade.Tick(now); ok {
+			alarm.Reset(max(0, next-c.Clock.Now()))
+		}
+	}
+}
+
+var (
+	errOver   = errors.New("the transaction is over")
+	errSilent = errors.New("the application server is silent")
+	errLeave  = errors.New("the relay is leaving")
+)
+
+// MoveAll has every transaction that stands, and every one that will, sent away.
+func (c *Core) MoveAll() { c.moveAll() }
+
+// Serve sees a transaction through. It ends early when ctx does, which says that
+// the client has left.
+func (c *Core) Serve(ctx context.Context, ask Ask, x Exchange) {
+	c.Counters.Transactions.Add(1)
+	t := &transaction{
+		core: c, x: x, ticket: balance.NewTicket(ask.Ask), resumed: ask.Open, at: ask.At,
+		number: c.Transactions.Add(memory.Transaction{
+			Front: ask.Front, Name: ask.Name, Class: ask.Class, Since: c.Clock.Now(),
+		}),
+	}
+	defer c.Transactions.Remove(t.number)
+	t.run(ctx)
+}
+
+// transaction is one that is under way.
+type transaction struct {
+	core    *Core
+	x       Exchange
+	ticket  *balance.Ticket
+	number  uint64
+	resumed bool // it is open at a server since before the relay's start
+	at      balance.ServerID
+	pass    *pass
+}
+
+// pass is a proxy pass that is out, or the connection that it became.
+type pass struct {
+	cancel  context.CancelCauseFunc
+	granted chan struct{} // closed once the module has it standing
+	ended   chan struct{}
+	cause   error // why it was ended here, once ended is closed
+}
+
+// stop ends the pass and waits until its connection is closed.
+func (p *pass) stop() {
+	if p != nil {
+		p.cancel(errOver)
+		<-p.ended
+	}
+}
+
+func (t *transaction) run(ctx context.Context) {
+	c := t.core
+	defer func() { t.pass.stop() }()
+	if t.resumed && !t.resume(ctx) {
+		return
+	}
+	for {
+		step, err := c.facade.Pick(ctx, t.ticket)
+		if err != nil {
+			t.pass.stop()
+			c.facade.Report(balance.Left{Ticket: t.ticket})
+			c.Counters.ClientLeft.Add(1)
+			return
+		}
+		switch step.Kind {
+		case balance.StepPass:
+			t.start(ctx, step)
+		case balance.StepUp:
+			close(t.pass.granted)
+		case balance.StepUnavailable:
+			c.Counters.Unavailable.Add(1)
+			t.x.Unavailable(step.Wait)
+			return
+		case balance.StepFailed:
+			c.Counters.Failed.Add(1)
+			t.x.Failed()
+			return
+		case balance.StepMove:
+			c.Counters.Moved.Add(1)
+			t.x.Move()
+			return
+		case balance.StepOver:
+			if <-t.pass.ended; t.pass.cause == errSilent || t.pass.cause == errLeave {
+				c.Counters.Moved.Add(1)
+				t.x.Move()
+			}
+			return
+		}
+	}
+}
+
+// resumeWait bounds how long a connection from before the start may take to be
+// up again.
+const resumeWait = 10 * time.Second
+
+// resume takes up a connection that was open before the relay's start: at that
+// server and no other, and for the module it has stood all along.
+func (t *transaction) resume(ctx context.Context) bool {
+	c := t.core
+	to, ok := c.Farm.Find(t.at)
+	if !ok {
+		t.x.Unavailable(0)
+		return false
+	}
+	link, how := t.attempt(ctx, to, resumeWait)
+	if how != balance.OK {
+		t.x.Unavailable(0)
+		return false
+	}
+	t.launch(ctx, func(ctx context.Context, p *pass) balance.Status {
+		return t.join(ctx, p, to, link)
+	})
+	return true
+}
+
+// start begins a pass that the module has picked.
+func (t *transaction) start(ctx context.Context, step balance.Step) {
+	t.launch(ctx, func(ctx context.Context, p *pass) balance.Status {
+		to, ok := t.core.Farm.Find(step.Server)
+		if !ok {
+			return balance.Moot
+		}
+		t.core.Transactions.Set(t.number, memory.Out, to.ID)
+		began := t.core.Clock.Now()
+		link, how := t.attempt(ctx, to, step.Wait)
+		if how != balance.OK {
+			return how
+		}
+		t.core.facade.Report(balance.Stands{Ticket: t.ticket, Took: t.core.Clock.Now() - began})
+		return t.join(ctx, p, to, link)
+	})
+}
+
+// launch runs a pass beside the transaction. Its end is reported only after its
+// connection is closed, so that no other goes out before.
+func (t *transaction) launch(ctx context.Context, carry func(context.Context, *pass) balance.Status) {
+	if t.pass != nil {
+		select {
+		case <-t.pass.ended:
+		default:
+			assert.That(false, "one pass is out at a time")
+			t.pass.stop()
+		}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	p := &pass{cancel: cancel, granted: make(chan struct{}), ended: make(chan struct{})}
+	t.pass = p
+	go func() {
+		how := carry(ctx, p)
+		p.cause = context.Cause(ctx)
+		cancel(errOver)
+		t.core.Counters.Pass(how)
+		close(p.ended)
+		t.core.facade.Report(balance.Ended{Ticket: t.ticket, How: how})
+	}()
+}
+
+// attempt has the front carry out a pass within its time.
+func (t *transaction) attempt(ctx context.Context, to memory.Server, wait time.Duration) (Link, balance.Status) {
+	if wait <= 0 {
+		wait = t.ticket.Left(t.core.Clock.Now())
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	link, how := t.x.Pass(ctx, to, wait)
+	assert.That((link != nil) == (how == balance.OK), "a pass gives a link exactly when it is up")
+	return link, how
+}
+
+// join waits until the module has the connection standing, and sees it to its end.
+func (t *transaction) join(ctx context.Context, p *pass, to memory.Server, link Link) balance.Status {
+	c := t.core
+	defer link.Close()
+	select {
+	case <-p.granted:
+	case <-ctx.Done():
+		return balance.Cancelled
+	}
+	c.Counters.Up.Add(1)
+	c.Transactions.Set(t.number, memory.Open, to.ID)
+	pulse := c.pulses.add(to.ID, func() { p.cancel(errSilent) }, func(load float64) {
+		c.facade.Report(balance.Load{Ticket: t.ticket, Load: load})
+	})
+	defer c.pulses.remove(pulse)
+	stop := context.AfterFunc(c.leaving, func() { p.cancel(errLeave) })
+	defer stop()
+	how := t.x.Join(ctx, link, pulse)
+	if context.Cause(ctx) == errSilent {
+		c.Counters.Silent.Add(1)
+		return balance.Reset
+	}
+	return how
+}
--- /dev/null
+++ b/internal/core/pulse.go
@@ -0,0 +1,151 @@
+package core
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lockroad/balance"
+)
+
+const (
+	pulseEvery  = 100 * time.Millisecond // how often the pulses are looked at
+	delayEvery  = time.Second            // how often a server's delay is told
+	silentAfter = 6 * time.Second        // a connection without an echo for this long is dead
+)
+
+// Pulse is the beat of one connection: what its client says should bring
+// something back at once. It guards against servers that go silent while their
+// connections stay open.
+type Pulse struct {
+	clock  Clock
+	server balance.ServerID
+	silent func()
+	load   func(float64)
+
+	mu    sync.Mutex
+	asked time.Duration // since when the client's word is unanswered; 0 if it is not
+	echo  time.Duration // the longest answer since the last look
+}
+
+// Asked notes that the client has said something.
+func (p *Pulse) Asked() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.asked == 0 {
+		p.asked = p.clock.Now()
+	}
+}
+
+// Answered notes that the server has said something back.
+func (p *Pulse) Answered() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.asked != 0 {
+		p.echo = max(p.echo, p.clock.Now()-p.asked)
+		p.asked = 0
+	}
+}
+
+// Load notes the load that the server tells of the connection.
+func (p *Pulse) Load(load float64) { p.load(load) }
+
+// take returns the longest answer since the last look, or the wait for the one
+// that is still to come, and whether it has gone silent.
+func (p *Pulse) take(now time.Duration) (delay time.Duration, silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delay, p.echo = p.echo, 0
+	if p.asked != 0 {
+		delay = max(delay, now-p.asked)
+		silent = now-p.asked >= silentAfter
+	}
+	return delay, silent
+}
+
+// pulses holds the pulses of all connections that stand, and tells the module
+// how long messages take at a server while that matters.
+type pulses struct {
+	clock Clock
+	floor time.Duration // delays under it are not told; 0 if none are
+
+	mu   sync.Mutex
+	all  map[*Pulse]struct{}
+	told map[balance.ServerID]told
+}
+
+type told struct {
+	at    time.Duration
+	worst time.Duration // since then
+	over  bool          // the last told was over the floor
+}
+
+func newPulses(s balance.Settings, clock Clock) *pulses {
+	p := &pulses{clock: clock, all: make(map[*Pulse]struct{}), told: make(map[balance.ServerID]told)}
+	for _, c := range s.Classes {
+		if aim := c.MessageAim / 3; aim > 0 && (p.floor == 0 || aim < p.floor) {
+			p.floor = aim
+		}
+	}
+	return p
+}
+
+func (p *pulses) add(server balance.ServerID, silent func(), load func(float64)) *Pulse {
+	pulse := &Pulse{clock: p.clock, server: server, silent: silent, load: load}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.all[pulse] = struct{}{}
+	return pulse
+}
+
+func (p *pulses) remove(pulse *Pulse) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.all, pulse)
+}
+
+// look takes all pulses, ends the silent ones and returns the delays to tell:
+// once a second of a server while it is over the floor, and once more when it is
+// back under.
+func (p *pulses) look(now time.Duration) []balance.Delay {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	worst := make(map[balance.ServerID]time.Duration)
+	for pulse := range p.all {
+		delay, silent := pulse.take(now)
+		worst[pulse.server] = max(worst[pulse.server], delay)
+		if silent {
+			pulse.silent()
+		}
+	}
+	var tell []balance.Delay
+	for id, delay := range worst {
+		t := p.told[id]
+		t.worst = max(t.worst, delay)
+		if now-t.at >= delayEvery && p.floor > 0 {
+			if over := t.worst > p.floor; over || t.over {
+				tell = append(tell, balance.Delay{Server: id, Delay: t.worst})
+				t.over = over
+			}
+			t.at, t.worst = now, 0
+		}
+		p.told[id] = t
+	}
+	return tell
+}
+
+// Watch looks at the pulses until ctx ends.
+func (c *Core) Watch(ctx context.Context) error {
+	tick := time.NewTicker(pulseEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			for _, d := range c.pulses.look(c.Clock.Now()) {
+				c.facade.Report(d)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/memory/farm.go
@@ -0,0 +1,135 @@
+// Package memory holds what the relay keeps: the farm, the transactions that
+// are open, and the counters.
+package memory
+
+import (
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"lockroad/balance"
+)
+
+// Phase is what discovery says of an application server.
+type Phase = balance.State
+
+// Server is an application server as discovery last named it.
+type Server struct {
+	ID      balance.ServerID
+	Name    string
+	Address string
+	Phase   Phase
+	Leaving <-chan struct{} // closed once the server drains or is gone
+}
+
+// IsLeaving tells whether the server drains or is gone by now.
+func (s Server) IsLeaving() bool { return closed(s.Leaving) }
+
+// Farm is discovery's list. It is safe for concurrent use.
+type Farm struct {
+	mu      sync.Mutex
+	servers map[balance.ServerID]*entry
+	names   map[string]balance.ServerID
+}
+
+type entry struct {
+	Server
+	leave chan struct{}
+}
+
+// NewFarm returns a farm that names no server.
+func NewFarm() *Farm {
+	return &Farm{servers: make(map[balance.ServerID]*entry), names: make(map[string]balance.ServerID)}
+}
+
+// ID returns the number of a server, the same at every relay: the hexadecimal
+// end of its name, or else a hash of it. Two names never share one.
+func (f *Farm) ID(name string) balance.ServerID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if id, ok := f.names[name]; ok {
+		return id
+	}
+	n, err := strconv.ParseUint(name[strings.LastIndexByte(name, '-')+1:], 16, 32)
+	if err != nil {
+		h := fnv.New32a()
+		h.Write([]byte(name))
+		n = uint64(h.Sum32())
+	}
+	id := balance.ServerID(n)
+	for f.servers[id] != nil {
+		id++
+	}
+	f.names[name] = id
+	f.servers[id] = &entry{Server: Server{ID: id, Name: name}}
+	return id
+}
+
+// Update takes a line of the list. A server that drains or is gone is leaving
+// at once, also for passes about to go out.
+func (f *Farm) Update(id balance.ServerID, address string, phase Phase) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.servers[id]
+	if e == nil {
+		return
+	}
+	if address != "" {
+		e.Address = address
+	}
+	e.Phase = phase
+	switch {
+	case phase == balance.Ready && (e.leave == nil || closed(e.leave)):
+		e.leave = make(chan struct{})
+		e.Leaving = e.leave
+	case phase != balance.Ready && e.leave == nil:
+		e.leave = make(chan struct{})
+		e.Leaving = e.leave
+		fallthrough
+	case phase != balance.Ready && !closed(e.leave):
+		close(e.leave)
+	}
+}
+
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Keep marks every server as gone that a whole list leaves out.
+func (f *Farm) Keep(named []balance.Server) {
+	for _, s := range f.List() {
+		if s.Phase != balance.Gone && !slices.ContainsFunc(named, func(n balance.Server) bool { return n.ID == s.ID }) {
+			f.Update(s.ID, "", balance.Gone)
+		}
+	}
+}
+
+// Find returns a server that the list has named.
+func (f *Farm) Find(id balance.ServerID) (Server, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.servers[id]
+	if e == nil || e.Leaving == nil {
+		return Server{}, false
+	}
+	return e.Server, true
+}
+
+// List returns the servers by name.
+func (f *Farm) List() []Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]Server, 0, len(f.servers))
+	for _, e := range f.servers {
+		list = append(list, e.Server)
+	}
+	slices.SortFunc(list, func(a, b Server) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
--- /dev/null
+++ b/internal/memory/transactions.go
@@ -0,0 +1,93 @@
+package memory
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"lockroad/balance"
+)
+
+// Stage is how far a transaction has come.
+type Stage uint8
+
+const (
+	Waiting Stage = iota // for a decision
+	Out                  // a pass is out
+	Open                 // it stands at an application server
+)
+
+func (s Stage) String() string { return [...]string{"waiting", "out", "open"}[s] }
+
+// Transaction is one that is under way.
+type Transaction struct {
+	Number uint64
+	Front  string
+	Name   string // as the client calls it
+	Class  string
+	Since  time.Duration
+	Stage  Stage
+	Server balance.ServerID
+	Passes int
+}
+
+// Transactions holds those under way. It is safe for concurrent use.
+type Transactions struct {
+	mu   sync.Mutex
+	last uint64
+	all  map[uint64]*Transaction
+}
+
+// NewTransactions returns an empty table.
+func NewTransactions() *Transactions {
+	return &Transactions{all: make(map[uint64]*Transaction)}
+}
+
+// Add enters a transaction and returns its number.
+func (t *Transactions) Add(x Transaction) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.last++
+	x.Number = t.last
+	t.all[x.Number] = &x
+	return x.Number
+}
+
+// Set notes how far a transaction has come.
+func (t *Transactions) Set(number uint64, stage Stage, server balance.ServerID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if x := t.all[number]; x != nil {
+		if stage == Out {
+			x.Passes++
+		}
+		x.Stage, x.Server = stage, server
+	}
+}
+
+// Remove takes out a transaction that is over.
+func (t *Transactions) Remove(number uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.all, number)
+}
+
+// Len returns how many are under way.
+func (t *Transactions) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.all)
+}
+
+// List returns those under way, in the order in which they came.
+func (t *Transactions) List() []Transaction {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]Transaction, 0, len(t.all))
+	for _, x := range t.all {
+		list = append(list, *x)
+	}
+	slices.SortFunc(list, func(a, b Transaction) int { return cmp.Compare(a.Number, b.Number) })
+	return list
+}
--- /dev/null
+++ b/internal/spoken/discovery/discovery.go
@@ -0,0 +1,241 @@
+// Package discovery reads the farm from the agent on the relay's own machine:
+// HTTP/1.1 with a watch whose answer stays open.
+package discovery
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"lockroad/balance"
+	"lockroad/internal/core"
+)
+
+const (
+	dialWait  = time.Second
+	quietMost = 6 * time.Second        // a sound watch says something every 2 s
+	againWait = 200 * time.Millisecond // between two watches
+	lineMost  = 4 << 20                // a list far above any real one
+)
+
+// List is a list of the farm, or of what has changed in it.
+type List struct {
+	Revision uint64   `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []Member `json:"members"`
+}
+
+// Member is an application server.
+type Member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+var phases = map[string]balance.State{
+	"ready": balance.Ready, "draining": balance.Draining, "gone": balance.Gone,
+}
+
+// Watcher keeps a core's farm up to date.
+type Watcher struct {
+	Core     *core.Core
+	Address  string
+	Zones    []string
+	revision uint64
+}
+
+// Know takes the list that the relay had before its start.
+func (w *Watcher) Know(l List) error { return w.take(l, balance.ListCached) }
+
+func (w *Watcher) take(l List, kind balance.ListKind) error {
+	servers := make([]balance.Server, 0, len(l.Members))
+	addresses := make([]string, 0, len(l.Members))
+	for _, m := range l.Members {
+		phase, ok := phases[m.Phase]
+		if !ok || m.ID == "" || !(m.Size >= 0 && m.Size < 1e12) {
+			return fmt.Errorf("discovery: member %q in phase %q of size %v makes no sense", m.ID, m.Phase, m.Size)
+		}
+		servers = append(servers, balance.Server{
+			ID: w.Core.Farm.ID(m.ID), State: phase, Zone: slices.Index(w.Zones, m.Locality),
+			Cell: m.Cell, Weight: m.Size, Born: w.Core.Clock.AtUnixMilli(m.UpSince),
+		})
+		addresses = append(addresses, m.HostPort)
+	}
+	w.revision = l.Revision
+	w.Core.Listed(kind, servers, addresses)
+	return nil
+}
+
+// Run watches until ctx ends. A watch that ends is opened again from the last
+// revision.
+func (w *Watcher) Run(ctx context.Context) error {
+	for {
+		w.watch(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(againWait):
+		}
+	}
+}
+
+// watch opens one watch and takes what it brings until it ends.
+func (w *Watcher) watch(ctx context.Context) error {
+	d := net.Dialer{Timeout: dialWait}
+	conn, err := d.DialContext(ctx, "tcp", w.Address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	_, err = fmt.Fprintf(conn, "GET /discovery/hosts?watch=1&from=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n",
+		w.revision, w.Address)
+	if err != nil {
+		return err
+	}
+	in := &quiet{conn}
+	r := bufio.NewReader(in)
+	body, err := readHead(r)
+	if err != nil {
+		return err
+	}
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, lineMost)
+	for lines.Scan() {
+		text := bytes.TrimSpace(lines.Bytes())
+		if len(text) == 0 {
+			continue
+		}
+		var l List
+		if err := json.Unmarshal(text, &l); err != nil {
+			return err
+		}
+		kind := balance.ListDelta
+		if l.Complete {
+			kind = balance.ListFull
+		}
+		if err := w.take(l, kind); err != nil {
+			return err
+		}
+	}
+	return lines.Err()
+}
+
+// quiet ends a connection that says nothing for too long.
+type quiet struct{ net.Conn }
+
+func (q *quiet) Read(b []byte) (int, error) {
+	q.SetReadDeadline(time.Now().Add(quietMost))
+	return q.Conn.Read(b)
+}
+
+var errHead = errors.New("discovery: the answer's head makes no sense")
+
+// readHead reads the head of an answer and returns its body.
+func readHead(r *bufio.Reader) (io.Reader, error) {
+	status, err := readLine(r)
+	if err != nil {
+		return nil, err
+	}
+	if word := strings.SplitN(status, " ", 3); len(word) < 2 || !strings.HasPrefix(word[0], "HTTP/1.") || word[1] != "200" {
+		return nil, fmt.Errorf("discovery: the answer is %q", status)
+	}
+	var body io.Reader = r // until its end, if nothing else is said
+	for range 100 {
+		field, err := readLine(r)
+		if err != nil {
+			return nil, err
+		}
+		if field == "" {
+			return body, nil
+		}
+		name, value, ok := strings.Cut(field, ":")
+		if !ok {
+			return nil, errHead
+		}
+		value = strings.TrimSpace(value)
+		switch strings.ToLower(name) {
+		case "transfer-encoding":
+			if !strings.EqualFold(value, "chunked") {
+				return nil, errHead
+			}
+			body = &chunked{r: r}
+		case "content-length":
+			n, err := strconv.ParseInt(value, 10, 64)
+			if err != nil || n < 0 {
+				return nil, errHead
+			}
+			if _, is := body.(*chunked); !is {
+				body = io.LimitReader(r, n)
+			}
+		}
+	}
+	return nil, errHead
+}
+
+// readLine reads a line of the protocol's own, without its end.
+func readLine(r *bufio.Reader) (string, error) {
+	text, err := r.ReadSlice('\n')
+	if err != nil {
+		return "", err
+	}
+	return strings.TrimRight(string(text), "\r\n"), nil
+}
+
+// chunked reads a body that comes in chunks.
+type chunked struct {
+	r    *bufio.Reader
+	left int64
+	some bool // a chunk has come, and its end is still to be read
+	err  error
+}
+
+func (c *chunked) Read(b []byte) (int, error) {
+	for c.left == 0 && c.err == nil {
+		c.left, c.err = c.next()
+	}
+	if c.err != nil {
+		return 0, c.err
+	}
+	n, err := c.r.Read(b[:min(int64(len(b)), c.left)])
+	c.left -= int64(n)
+	c.err = err
+	return n, err
+}
+
+// next reads the head of a chunk.
+func (c *chunked) next() (int64, error) {
+	if c.some {
+		if text, err := readLine(c.r); err != nil || text != "" {
+			return 0, errors.Join(err, errHead)
+		}
+	}
+	text, err := readLine(c.r)
+	if err != nil {
+		return 0, err
+	}
+	size, _, _ := strings.Cut(text, ";")
+	n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+	if err != nil {
+		return 0, errHead
+	}
+	if n == 0 {
+		return 0, io.EOF
+	}
+	c.some = true
+	return int64(n), nil
+}
--- /dev/null
+++ b/internal/spoken/line/client.go
@@ -0,0 +1,104 @@
+package line
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	lingerFor = time.Second            // a client may take this long to read its last line
+	writeFor  = 5 * time.Second        // a client that takes nothing for this long is gone
+	moveFor   = 300 * time.Millisecond // the rest of a line may take this long before MOVE
+)
+
+const lineMove = "MOVE\r\n"
+
+var errLast = errors.New("the last line is written")
+
+// client is a client's connection. What is written to it keeps its lines whole.
+type client struct {
+	*net.TCPConn
+	r    *bufio.Reader
+	gone chan struct{} // closed once the client's own stream has ended
+
+	mu     sync.Mutex
+	mid    bool          // a line is written in part
+	last   bool          // nothing may follow
+	moving chan struct{} // closed once MOVE has followed the line written in part
+}
+
+func newClient(conn *net.TCPConn) *client {
+	return &client{TCPConn: conn, r: bufio.NewReaderSize(conn, maxLine), gone: make(chan struct{})}
+}
+
+// write passes on bytes of a server. A client that is to move gets MOVE after
+// the line that they end.
+func (c *client) write(b []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last {
+		return errLast
+	}
+	if c.moving != nil {
+		if i := bytes.IndexByte(b, '\n'); i >= 0 {
+			defer close(c.moving)
+			c.last = true
+			_, err := c.Write(append(b[:i+1:i+1], lineMove...))
+			return errors.Join(err, errLast)
+		}
+	}
+	c.SetWriteDeadline(time.Now().Add(writeFor))
+	_, err := c.Write(b)
+	c.mid = len(b) > 0 && b[len(b)-1] != '\n'
+	return err
+}
+
+// end writes the last line, between two lines, and nothing after it.
+func (c *client) end(text string) {
+	c.SetWriteDeadline(time.Now().Add(moveFor)) // also for a write that holds the lock
+	c.mu.Lock()
+	if c.last {
+		c.mu.Unlock()
+		return
+	}
+	if !c.mid {
+		c.last = true
+		c.Write([]byte(text))
+		c.mu.Unlock()
+		return
+	}
+	moved := make(chan struct{})
+	c.moving = moved
+	c.mu.Unlock()
+	select {
+	case <-moved:
+	case <-c.gone:
+	case <-time.After(moveFor): // half a line can't be ended politely
+	}
+}
+
+// closing notes that the server has said its last line itself.
+func (c *client) closing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = true
+}
+
+// finish ends the connection so that the client can still read what was written:
+// closing with words of the client unread would reset it.
+func (c *client) finish() {
+	c.CloseWrite()
+	c.SetReadDeadline(time.Now().Add(lingerFor))
+	<-c.gone
+	c.Close()
+}
+
+// reset breaks a connection off, as the other side of it was.
+func reset(c *net.TCPConn) {
+	c.SetLinger(0)
+	c.Close()
+}
--- /dev/null
+++ b/internal/spoken/line/front.go
@@ -0,0 +1,294 @@
+package line
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"lockroad/balance"
+	"lockroad/internal/core"
+	"lockroad/internal/memory"
+	"lockroad/internal/spoken"
+)
+
+const (
+	openingWait = 10 * time.Second // a client that says nothing for this long goes
+	byeWait     = 5 * time.Second  // a server may take this long to end what its client has
+)
+
+// Front is where clients of the platform come in.
+type Front struct {
+	Core    *core.Core
+	Classes []string // their names, in the order of the settings
+	Most    int      // clients at a time; the rest get an unavailable answer
+}
+
+// Serve takes clients until the listener is closed, and then sees those through
+// that it has.
+func (f *Front) Serve(ctx context.Context, l net.Listener) error {
+	return spoken.Accept(ctx, l, f.Most, f.client, func(_ context.Context, c *net.TCPConn) {
+		c.SetWriteDeadline(time.Now().Add(moveFor))
+		io.WriteString(c, "BUSY\r\n")
+	})
+}
+
+// client sees one client's connection through.
+func (f *Front) client(ctx context.Context, conn *net.TCPConn) {
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	c := newClient(conn)
+	defer c.Close()
+	for {
+		c.SetReadDeadline(time.Now().Add(openingWait))
+		text, err := c.r.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			f.bad(c)
+			return
+		}
+		if err != nil {
+			return
+		}
+		text = trimEnd(text)
+		if string(text) == "PING" {
+			if c.write([]byte("PONG\r\n")) != nil {
+				return
+			}
+			continue
+		}
+		o, err := parseOpening(string(text))
+		class := slices.Index(f.Classes, o.class)
+		if err != nil || class < 0 {
+			f.bad(c)
+			return
+		}
+		c.SetReadDeadline(time.Time{})
+		f.open(ctx, c, o, class)
+		return
+	}
+}
+
+func trimEnd(text []byte) []byte {
+	text = text[:len(text)-1]
+	if n := len(text); n > 0 && text[n-1] == '\r' {
+		text = text[:n-1]
+	}
+	return text
+}
+
+// bad answers what makes no sense: one clean failure.
+func (f *Front) bad(c *client) {
+	f.Core.Counters.BadLines.Add(1)
+	c.end("ERR\r\n")
+	go func() {
+		io.Copy(io.Discard, c.r)
+		close(c.gone)
+	}()
+	c.finish()
+}
+
+func (f *Front) open(ctx context.Context, c *client, o opening, class int) {
+	ask := core.Ask{Front: "line", Name: o.id, Class: o.class, Ask: balance.Ask{
+		Class: class, Item: o.item, Group: o.group, Load: o.load, Return: o.back,
+		GiveUp: f.Core.Clock.Now() + o.wait, Open: o.at != "",
+	}}
+	if ask.Open {
+		ask.At = f.Core.Farm.ID(o.at)
+	}
+	ctx, left := context.WithCancel(ctx)
+	defer left()
+	x := &exchange{client: c, opening: o, connect: f.Core.Connect, joined: make(chan joint, 1)}
+	go x.upstream(left)
+	f.Core.Serve(ctx, ask, x)
+	close(x.joined)
+	c.finish()
+}
+
+// server is the application server's side of a transaction.
+type server struct {
+	*net.TCPConn
+	r  *bufio.Reader
+	up []byte // the line that says that it is up
+}
+
+// Close ends the connection at once.
+func (s *server) Close() { s.TCPConn.Close() }
+
+// joint is what the client's stream is passed on to once the transaction is up.
+type joint struct {
+	server *server
+	pulse  *core.Pulse
+}
+
+// exchange is one client's transaction.
+type exchange struct {
+	client  *client
+	opening opening
+	connect time.Duration
+	joined  chan joint
+	ended   atomic.Bool // the client's own stream has
+}
+
+// Pass sends the opening to a server and waits for its answer.
+func (x *exchange) Pass(ctx context.Context, to memory.Server, wait time.Duration) (core.Link, balance.Status) {
+	d := net.Dialer{Timeout: x.connect, KeepAlive: -1}
+	conn, err := d.DialContext(ctx, "tcp", to.Address)
+	if err != nil {
+		return nil, ended(ctx, balance.ConnectFailed)
+	}
+	s := &server{TCPConn: conn.(*net.TCPConn), r: bufio.NewReaderSize(conn, maxLine)}
+	stop := context.AfterFunc(ctx, s.Close)
+	how := x.ask(ctx, s, to, wait)
+	if !stop() && how == balance.OK {
+		how = ended(ctx, balance.Reset)
+	}
+	if how != balance.OK {
+		s.Close()
+		return nil, how
+	}
+	return s, how
+}
+
+// ask returns what came of the opening at a server.
+func (x *exchange) ask(ctx context.Context, s *server, to memory.Server, wait time.Duration) balance.Status {
+	if x.opening.at == "" && to.IsLeaving() {
+		return balance.Moot // it drains since the pass was picked
+	}
+	if _, err := s.Write(x.opening.with(wait)); err != nil {
+		return ended(ctx, balance.ConnectFailed)
+	}
+	text, err := s.r.ReadSlice('\n')
+	if err != nil {
+		return ended(ctx, balance.Reset)
+	}
+	switch w, _ := parseWord(text); w {
+	case wordUp:
+		s.up = slices.Clone(text)
+		return balance.OK
+	case wordBusy:
+		return balance.Full
+	}
+	return balance.Error
+}
+
+// ended is the outcome of a pass that broke, or that was ended from here.
+func ended(ctx context.Context, broke balance.Status) balance.Status {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return balance.Timeout
+	case ctx.Err() != nil:
+		return balance.Cancelled
+	}
+	return broke
+}
+
+// Join passes lines on, both ways, until the connection has ended.
+func (x *exchange) Join(ctx context.Context, link core.Link, pulse *core.Pulse) balance.Status {
+	s := link.(*server)
+	stop := context.AfterFunc(ctx, s.Close)
+	defer stop()
+	if x.client.write(s.up) != nil {
+		return balance.Cancelled
+	}
+	x.joined <- joint{s, pulse}
+	return x.downstream(ctx, s, pulse)
+}
+
+// downstream passes on what the server says, and ends the client's side as the
+// server's ends, unless it was ended from here.
+func (x *exchange) downstream(ctx context.Context, s *server, pulse *core.Pulse) balance.Status {
+	how := balance.Reset
+	var lines splitter
+	last := false
+	buf := make([]byte, maxLine)
+	for {
+		n, err := s.r.Read(buf)
+		lines.feed(buf[:n], func(text []byte) {
+			switch w, figure := parseWord(text); w {
+			case wordBye:
+				how, last = balance.OK, true
+			case wordMove:
+				how, last = balance.Cancelled, true
+			case wordLoad:
+				pulse.Load(figure / 1e6)
+			default:
+				pulse.Answered()
+			}
+		})
+		if n > 0 && x.client.write(buf[:n]) != nil {
+			return balance.Cancelled
+		}
+		if last {
+			x.client.closing()
+		}
+		switch {
+		case err == nil:
+		case ctx.Err() != nil: // moved or silent: the client is still to be told
+			return ended(ctx, how)
+		case x.ended.Load() && how == balance.Reset:
+			return balance.Cancelled // the client has left
+		case errors.Is(err, io.EOF):
+			x.client.CloseWrite()
+			return how
+		default:
+			reset(x.client.TCPConn)
+			return how
+		}
+	}
+}
+
+// upstream waits for the client. Before the transaction is up, the client's end
+// says that it has left; from then on, what it says is passed on, and its end as
+// well. What comes after that is read and left aside.
+func (x *exchange) upstream(left func()) {
+	defer close(x.client.gone)
+	_, err := x.client.r.Peek(1)
+	var to joint
+	if err == nil {
+		to = <-x.joined
+	} else {
+		x.ended.Store(true)
+		select {
+		case to = <-x.joined:
+		default:
+			left()
+			return
+		}
+	}
+	buf := make([]byte, maxLine)
+	var lines splitter
+	for err == nil {
+		var n int
+		n, err = x.client.r.Read(buf)
+		if n > 0 && to.server != nil {
+			lines.feed(buf[:n], func([]byte) { to.pulse.Asked() })
+			if _, broke := to.server.Write(buf[:n]); broke != nil {
+				to.server = nil // the other direction sees why
+			}
+		}
+	}
+	x.ended.Store(true)
+	if to.server == nil {
+		return
+	}
+	if errors.Is(err, syscall.ECONNRESET) {
+		reset(to.server.TCPConn)
+		return
+	}
+	to.server.CloseWrite()
+	to.server.SetReadDeadline(time.Now().Add(byeWait))
+}
+
+// Unavailable answers that trying again is harmless.
+func (x *exchange) Unavailable(comeBack time.Duration) { x.client.end(busy(comeBack)) }
+
+// Failed answers what promises nothing.
+func (x *exchange) Failed() { x.client.end("ERR\r\n") }
+
+// Move sends the client away politely.
+func (x *exchange) Move() { x.client.end(lineMove) }
