Tell delays from loads among the LOAD lines; begin the AMQP front

Echoes come at once throughout: they say nothing of a slow server. A trace shows LOAD lines of 29, 149, 267 ... 831 once a second on the dot, alike at all three relays: the delay notes of the wire, in milliseconds. They were booked as loads (front.go, downstream). Done: a line on a server's one-second beat, or too small for a load, is a delay. Also here: the codec, sessions and links of the AMQP front; not started yet.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -112,6 +112,9 @@
 // MoveAll has every transaction that stands, and every one that will, sent away.
 func (c *Core) MoveAll() { c.moveAll() }
 
+// Leaving is closed once everyone is to move.
+func (c *Core) Leaving() <-chan struct{} { return c.leaving.Done() }
+
 // Serve sees a transaction through. It ends early when ctx does, which says that
 // the client has left.
 func (c *Core) Serve(ctx context.Context, ask Ask, x Exchange) {
@@ -283,8 +286,11 @@
 	}
 	c.Counters.Up.Add(1)
 	c.Transactions.Set(t.number, memory.Open, to.ID)
-	pulse := c.pulses.add(to.ID, func() { p.cancel(errSilent) }, func(load float64) {
-		c.facade.Report(balance.Load{Ticket: t.ticket, Load: load})
+	pulse := c.pulses.add(&Pulse{
+		server: to.ID,
+		silent: func() { p.cancel(errSilent) },
+		load:   func(load float64) { c.facade.Report(balance.Load{Ticket: t.ticket, Load: load}) },
+		delay:  func(d time.Duration) { c.facade.Report(balance.Delay{Server: to.ID, Delay: d}) },
 	})
 	defer c.pulses.remove(pulse)
 	stop := context.AfterFunc(c.leaving, func() { p.cancel(errLeave) })
--- a/internal/core/pulse.go
+++ b/internal/core/pulse.go
@@ -22,6 +22,7 @@
 	server balance.ServerID
 	silent func()
 	load   func(float64)
+	delay  func(time.Duration)
 
 	mu    sync.Mutex
 	asked time.Duration // since when the client's word is unanswered; 0 if it is not
@@ -47,9 +48,15 @@
 	}
 }
 
+// Silent notes that the server has not even said that it lives.
+func (p *Pulse) Silent() { p.silent() }
+
 // Load notes the load that the server tells of the connection.
 func (p *Pulse) Load(load float64) { p.load(load) }
 
+// Delay notes how long a message takes at the server, as it says itself.
+func (p *Pulse) Delay(delay time.Duration) { p.delay(delay) }
+
 // take returns the longest answer since the last look, or the wait for the one
 // that is still to come, and whether it has gone silent.
 func (p *Pulse) take(now time.Duration) (delay time.Duration, silent bool) {
@@ -90,8 +97,8 @@
 	return p
 }
 
-func (p *pulses) add(server balance.ServerID, silent func(), load func(float64)) *Pulse {
-	pulse := &Pulse{clock: p.clock, server: server, silent: silent, load: load}
+func (p *pulses) add(pulse *Pulse) *Pulse {
+	pulse.clock = p.clock
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.all[pulse] = struct{}{}
--- /dev/null
+++ b/internal/spoken/amqp/codec.go
@@ -0,0 +1,491 @@
+// Package amqp speaks AMQP 1.0 with clients and application servers. A client's
+// link is one transaction; the frames of one that is up pass both ways.
+package amqp
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+)
+
+// The types of AMQP that Go has no name for. The rest are bool, the sized
+// integers and floats, string, []byte for binary, and nil for null.
+type (
+	symbol    string
+	timestamp int64
+	char      uint32
+	uuid      [16]byte
+	decimal   struct { // passed on, never looked at
+		code byte
+		raw  string
+	}
+	list  []any
+	array []any // elements of one type
+	// mapping holds keys and values in turn, in the order in which they came.
+	mapping   []any
+	described struct{ descriptor, value any }
+)
+
+const (
+	maxDepth = 32   // of values within values
+	maxBare  = 4096 // elements of an array that take no room themselves
+)
+
+var errDecode = errors.New("the bytes are no value of AMQP")
+
+// get returns the value of a key; keys are symbols or strings.
+func (m mapping) get(key string) any {
+	for i := 0; i+1 < len(m); i += 2 {
+		if text(m[i]) == key {
+			return m[i+1]
+		}
+	}
+	return nil
+}
+
+// with returns a copy in which a key has a value.
+func (m mapping) with(key string, value any) mapping {
+	out := make(mapping, 0, len(m)+2)
+	for i := 0; i+1 < len(m); i += 2 {
+		if text(m[i]) != key {
+			out = append(out, m[i], m[i+1])
+		}
+	}
+	return append(out, symbol(key), value)
+}
+
+// text returns what a symbol or a string says.
+func text(v any) string {
+	switch v := v.(type) {
+	case symbol:
+		return string(v)
+	case string:
+		return v
+	}
+	return ""
+}
+
+// whole returns an integer of any width that is not negative.
+func whole(v any) (uint64, bool) {
+	switch v := v.(type) {
+	case uint8:
+		return uint64(v), true
+	case uint16:
+		return uint64(v), true
+	case uint32:
+		return uint64(v), true
+	case uint64:
+		return v, true
+	case int8:
+		return uint64(v), v >= 0
+	case int16:
+		return uint64(v), v >= 0
+	case int32:
+		return uint64(v), v >= 0
+	case int64:
+		return uint64(v), v >= 0
+	}
+	return 0, false
+}
+
+// decoder takes values off the front of some bytes.
+type decoder struct {
+	rest  []byte
+	depth int
+}
+
+func (d *decoder) take(n uint64) ([]byte, error) {
+	if n > uint64(len(d.rest)) {
+		return nil, errDecode
+	}
+	b := d.rest[:n]
+	d.rest = d.rest[n:]
+	return b, nil
+}
+
+// number reads an unsigned integer of so many bytes.
+func (d *decoder) number(width uint64) (uint64, error) {
+	b, err := d.take(width)
+	if err != nil {
+		return 0, err
+	}
+	var n uint64
+	for _, x := range b {
+		n = n<<8 | uint64(x)
+	}
+	return n, nil
+}
+
+func (d *decoder) value() (any, error) {
+	if d.depth++; d.depth > maxDepth {
+		return nil, errDecode
+	}
+	defer func() { d.depth-- }()
+	code, err := d.number(1)
+	if err != nil {
+		return nil, err
+	}
+	if code == 0 {
+		return d.described()
+	}
+	return d.primitive(byte(code))
+}
+
+func (d *decoder) described() (any, error) {
+	descriptor, err := d.value()
+	if err != nil {
+		return nil, err
+	}
+	v, err := d.value()
+	return described{descriptor, v}, err
+}
+
+// primitive reads what follows a constructor.
+func (d *decoder) primitive(code byte) (any, error) {
+	switch code {
+	case 0x40:
+		return nil, nil
+	case 0x41:
+		return true, nil
+	case 0x42:
+		return false, nil
+	case 0x43:
+		return uint32(0), nil
+	case 0x44:
+		return uint64(0), nil
+	case 0x45:
+		return list{}, nil
+	}
+	// The upper half of a code tells how wide what follows is.
+	switch code >> 4 {
+	case 0x5, 0x6, 0x7, 0x8:
+		n, err := d.number(1 << (code>>4 - 5))
+		if err != nil {
+			return nil, err
+		}
+		return fixed(code, n)
+	case 0x9:
+		b, err := d.take(16)
+		if err != nil {
+			return nil, err
+		}
+		if code == 0x98 {
+			return uuid(b), nil
+		}
+		if code == 0x94 {
+			return decimal{code, string(b)}, nil
+		}
+	case 0xa, 0xb:
+		n, err := d.number(1 + 3*uint64(code>>4&1))
+		if err != nil {
+			return nil, err
+		}
+		b, err := d.take(n)
+		if err != nil {
+			return nil, err
+		}
+		switch code & 0xf {
+		case 0x0:
+			return append([]byte{}, b...), nil
+		case 0x1:
+			return string(b), nil
+		case 0x3:
+			return symbol(b), nil
+		}
+	case 0xc, 0xd:
+		return d.compound(code, 1+3*uint64(code>>4&1))
+	case 0xe, 0xf:
+		return d.array(code, 1+3*uint64(code>>4&1))
+	}
+	return nil, fmt.Errorf("%w: constructor %#x", errDecode, code)
+}
+
+// fixed gives the bits of a value of fixed width their type.
+func fixed(code byte, n uint64) (any, error) {
+	switch code {
+	case 0x50:
+		return uint8(n), nil
+	case 0x51:
+		return int8(n), nil
+	case 0x52, 0x70:
+		return uint32(n), nil
+	case 0x53, 0x80:
+		return n, nil
+	case 0x54:
+		return int32(int8(n)), nil
+	case 0x55:
+		return int64(int8(n)), nil
+	case 0x56:
+		return n == 1, nil
+	case 0x60:
+		return uint16(n), nil
+	case 0x61:
+		return int16(n), nil
+	case 0x71:
+		return int32(n), nil
+	case 0x72:
+		return math.Float32frombits(uint32(n)), nil
+	case 0x73:
+		return char(n), nil
+	case 0x74:
+		return decimal{code, string(binary.BigEndian.AppendUint32(nil, uint32(n)))}, nil
+	case 0x81:
+		return int64(n), nil
+	case 0x82:
+		return math.Float64frombits(n), nil
+	case 0x83:
+		return timestamp(n), nil
+	case 0x84:
+		return decimal{code, string(binary.BigEndian.AppendUint64(nil, n))}, nil
+	}
+	return nil, fmt.Errorf("%w: constructor %#x", errDecode, code)
+}
+
+// body reads the size and the count that open a compound value or an array, and
+// returns a decoder of its inside.
+func (d *decoder) body(width uint64) (*decoder, uint64, error) {
+	size, err := d.number(width)
+	if err != nil {
+		return nil, 0, err
+	}
+	b, err := d.take(size)
+	if err != nil {
+		return nil, 0, err
+	}
+	in := &decoder{rest: b, depth: d.depth}
+	count, err := in.number(width)
+	return in, count, err
+}
+
+func (d *decoder) compound(code byte, width uint64) (any, error) {
+	in, count, err := d.body(width)
+	if err != nil || count > uint64(len(in.rest)) { // every element takes a byte at least
+		return nil, errDecode
+	}
+	vs := make([]any, count)
+	for i := range vs {
+		if vs[i], err = in.value(); err != nil {
+			return nil, err
+		}
+	}
+	switch {
+	case len(in.rest) > 0:
+	case code&0xf == 0x0:
+		return list(vs), nil
+	case code&0xf == 0x1 && count%2 == 0:
+		return mapping(vs), nil
+	}
+	return nil, errDecode
+}
+
+func (d *decoder) array(code byte, width uint64) (any, error) {
+	in, count, err := d.body(width)
+	if err != nil || code&0xf != 0 || count > uint64(len(in.rest))+maxBare {
+		return nil, errDecode
+	}
+	if len(in.rest) == 0 && count == 0 {
+		return array{}, nil
+	}
+	constructor, err := in.number(1)
+	if err != nil {
+		return nil, err
+	}
+	var descriptor any
+	if constructor == 0 {
+		if descriptor, err = in.value(); err != nil {
+			return nil, err
+		}
+		if constructor, err = in.number(1); err != nil || constructor == 0 {
+			return nil, errDecode
+		}
+	}
+	vs := make(array, 0, min(count, 64))
+	for range count {
+		v, err := in.primitive(byte(constructor))
+		if err != nil {
+			return nil, err
+		}
+		if descriptor != nil {
+			v = described{descriptor, v}
+		}
+		vs = append(vs, v)
+	}
+	if len(in.rest) > 0 {
+		return nil, errDecode
+	}
+	return vs, nil
+}
+
+// encode appends a value.
+func encode(b []byte, v any) []byte {
+	switch v := v.(type) {
+	case nil:
+		return append(b, 0x40)
+	case bool:
+		if v {
+			return append(b, 0x41)
+		}
+		return append(b, 0x42)
+	case list:
+		if len(v) == 0 {
+			return append(b, 0x45)
+		}
+		return compound(b, 0xd0, v)
+	case mapping:
+		return compound(b, 0xd1, v)
+	case array:
+		return encodeArray(b, v)
+	case described:
+		return encode(encode(append(b, 0), v.descriptor), v.value)
+	}
+	return bare(append(b, wide(v)), v)
+}
+
+// wide returns the constructor of the widest form of a value.
+func wide(v any) byte {
+	switch v := v.(type) {
+	case nil:
+		return 0x40
+	case bool:
+		return 0x56
+	case uint8:
+		return 0x50
+	case int8:
+		return 0x51
+	case uint16:
+		return 0x60
+	case int16:
+		return 0x61
+	case uint32:
+		return 0x70
+	case int32:
+		return 0x71
+	case float32:
+		return 0x72
+	case char:
+		return 0x73
+	case uint64:
+		return 0x80
+	case int64:
+		return 0x81
+	case float64:
+		return 0x82
+	case timestamp:
+		return 0x83
+	case decimal:
+		return v.code
+	case uuid:
+		return 0x98
+	case []byte:
+		return 0xb0
+	case string:
+		return 0xb1
+	case symbol:
+		return 0xb3
+	case list:
+		return 0xd0
+	case mapping:
+		return 0xd1
+	case array:
+		return 0xf0
+	}
+	panic(fmt.Sprintf("amqp: no form for a %T", v)) // values come from decode or from this package
+}
+
+// bare appends a value without its constructor, in its widest form.
+func bare(b []byte, v any) []byte {
+	be := binary.BigEndian
+	sized := func(s string) []byte { return append(be.AppendUint32(b, uint32(len(s))), s...) }
+	switch v := v.(type) {
+	case bool:
+		if v {
+			return append(b, 1)
+		}
+		return append(b, 0)
+	case uint8:
+		return append(b, v)
+	case int8:
+		return append(b, byte(v))
+	case uint16:
+		return be.AppendUint16(b, v)
+	case int16:
+		return be.AppendUint16(b, uint16(v))
+	case uint32:
+		return be.AppendUint32(b, v)
+	case int32:
+		return be.AppendUint32(b, uint32(v))
+	case float32:
+		return be.AppendUint32(b, math.Float32bits(v))
+	case char:
+		return be.AppendUint32(b, uint32(v))
+	case uint64:
+		return be.AppendUint64(b, v)
+	case int64:
+		return be.AppendUint64(b, uint64(v))
+	case float64:
+		return be.AppendUint64(b, math.Float64bits(v))
+	case timestamp:
+		return be.AppendUint64(b, uint64(v))
+	case decimal:
+		return append(b, v.raw...)
+	case uuid:
+		return append(b, v[:]...)
+	case []byte:
+		return sized(string(v))
+	case string:
+		return sized(v)
+	case symbol:
+		return sized(string(v))
+	}
+	return b
+}
+
+// compound appends a list or a map.
+func compound(b []byte, code byte, vs []any) []byte {
+	b = append(b, code)
+	at := len(b)
+	b = binary.BigEndian.AppendUint32(append(b, 0, 0, 0, 0), uint32(len(vs)))
+	for _, v := range vs {
+		b = encode(b, v)
+	}
+	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-4))
+	return b
+}
+
+func encodeArray(b []byte, vs array) []byte {
+	b = append(b, 0xf0)
+	at := len(b)
+	b = binary.BigEndian.AppendUint32(append(b, 0, 0, 0, 0), uint32(len(vs)))
+	if len(vs) == 0 {
+		b = append(b, 0x40)
+	}
+	for i, v := range vs {
+		d, is := v.(described)
+		if is {
+			v = d.value
+		}
+		if i == 0 {
+			if is {
+				b = encode(append(b, 0), d.descriptor)
+			}
+			b = append(b, wide(v))
+		}
+		b = bareIn(b, v)
+	}
+	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-4))
+	return b
+}
+
+// bareIn appends an element of an array.
+func bareIn(b []byte, v any) []byte {
+	switch v := v.(type) {
+	case list:
+		return append(b, compound(nil, 0xd0, v)[1:]...)
+	case mapping:
+		return append(b, compound(nil, 0xd1, v)[1:]...)
+	case array:
+		return append(b, encodeArray(nil, v)[1:]...)
+	}
+	return bare(b, v)
+}
--- /dev/null
+++ b/internal/spoken/amqp/front.go
@@ -0,0 +1,354 @@
+package amqp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"lockroad/internal/core"
+	"lockroad/internal/spoken"
+)
+
+const (
+	helloWait = 10 * time.Second       // a client may take this long to open
+	leaveWait = 600 * time.Millisecond // links still come for this long after the word to leave
+	byeWait   = time.Second            // a peer may take this long to answer a close
+)
+
+// Front is where clients that speak AMQP come in.
+type Front struct {
+	Core    *core.Core
+	Classes []string // their names, in the order of the settings
+	Most    int      // links at a time; the rest are turned away
+
+	places chan struct{}
+	once   sync.Once
+}
+
+// Serve takes clients until the listener is closed, and then sees those through
+// that it has.
+func (f *Front) Serve(ctx context.Context, l net.Listener) error {
+	f.once.Do(func() { f.places = make(chan struct{}, f.Most) })
+	return spoken.Accept(ctx, l, f.Most, f.client, func(context.Context, *net.TCPConn) {})
+}
+
+// client is a client's connection.
+type client struct {
+	*conn
+	front    *Front
+	ctx      context.Context
+	links    sync.WaitGroup
+	sessions map[uint16]*clientSession
+	stop     chan struct{}
+}
+
+// client sees one connection through.
+func (f *Front) client(ctx context.Context, tcp *net.TCPConn) {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &client{
+		conn: newConn(tcp), front: f, ctx: ctx,
+		sessions: make(map[uint16]*clientSession), stop: make(chan struct{}),
+	}
+	closed := context.AfterFunc(ctx, func() { tcp.Close() })
+	err := c.run()
+	if bad := (fault{}); errors.As(err, &bad) {
+		f.Core.Counters.BadLines.Add(1)
+		c.write(0, perf{codeClose, list{errorOf(bad.cond, bad.text, nil)}}, nil)
+		c.linger()
+	}
+	for _, s := range c.sessions {
+		s.lost()
+	}
+	c.links.Wait()
+	close(c.stop)
+	closed()
+	cancel()
+	tcp.Close()
+}
+
+// linger lets the client read a close before the connection ends: closing with
+// words of the client unread would reset it.
+func (c *client) linger() {
+	c.CloseWrite()
+	c.SetReadDeadline(time.Now().Add(byeWait))
+	for buf := make([]byte, 1024); ; {
+		if _, err := c.r.Read(buf); err != nil {
+			return
+		}
+	}
+}
+
+// run greets the client and takes its frames, until its connection ends.
+func (c *client) run() error {
+	if err := c.greet(); err != nil {
+		return err
+	}
+	go c.leave()
+	for {
+		f, err := c.read(frameAMQP, idleMost)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return fault{condLimit, "nothing has come for the time of the idle time-out"}
+		}
+		if err != nil {
+			return err
+		}
+		if f.code == codeClose {
+			c.write(0, perf{codeClose, nil}, nil)
+			return nil
+		}
+		if err := c.take(f); err != nil {
+			return err
+		}
+	}
+}
+
+// greet exchanges headers, the security layer's frames and the opens.
+func (c *client) greet() error {
+	h, err := c.readHeader(helloWait)
+	if err != nil {
+		return err
+	}
+	if h == headerSASL {
+		if err := c.authenticate(); err != nil {
+			return err
+		}
+		if h, err = c.readHeader(helloWait); err != nil {
+			return err
+		}
+	}
+	if err := c.header(headerAMQP); err != nil {
+		return err
+	}
+	if h != headerAMQP {
+		return errors.New("the client speaks another protocol") // it has been told ours
+	}
+	f, err := c.read(frameAMQP, helloWait)
+	if err != nil {
+		return err
+	}
+	if f.code != codeOpen {
+		return fault{condNotAllowed, "a connection begins with an open"}
+	}
+	idle := c.opened(f.perf)
+	if err := c.write(0, open("lockroad"), nil); err != nil {
+		return err
+	}
+	go c.beat(idle, c.stop)
+	return nil
+}
+
+// authenticate takes anyone: the security layer knows ANONYMOUS only.
+func (c *client) authenticate() error {
+	if err := c.header(headerSASL); err != nil {
+		return err
+	}
+	if err := c.sasl(perf{codeMechanisms, list{array{symbol("ANONYMOUS")}}}); err != nil {
+		return err
+	}
+	f, err := c.read(frameSASL, helloWait)
+	if err != nil {
+		return err
+	}
+	if f.code != codeInit || text(f.field(0)) != "ANONYMOUS" {
+		c.sasl(perf{codeOutcome, list{uint8(1)}})
+		return errors.New("the client wants another mechanism than ANONYMOUS")
+	}
+	return c.sasl(perf{codeOutcome, list{uint8(0)}})
+}
+
+// leave closes the connection once everyone is to move and its links have been.
+func (c *client) leave() {
+	select {
+	case <-c.stop:
+		return
+	case <-c.front.Core.Leaving():
+	}
+	select {
+	case <-c.stop:
+		return
+	case <-time.After(leaveWait):
+	}
+	c.write(0, perf{codeClose, list{errorOf(condForced, "the relay is leaving", nil)}}, nil)
+	c.CloseWrite()
+	c.SetReadDeadline(time.Now().Add(byeWait))
+}
+
+// take handles a frame other than a close.
+func (c *client) take(f frame) error {
+	if f.empty {
+		return nil
+	}
+	s := c.sessions[f.channel]
+	if f.code == codeBegin {
+		if s != nil || f.channel > channelMost {
+			return fault{condNotAllowed, fmt.Sprintf("channel %d can't begin a session", f.channel)}
+		}
+		s = &clientSession{session: newSession(c.conn, f.channel), client: c, links: make(map[uint32]*link)}
+		if err := s.begun(f.perf); err != nil {
+			return err
+		}
+		c.sessions[f.channel] = s
+		return s.write(f.channel, s.begin(f.channel), nil)
+	}
+	if s == nil {
+		return fault{condFraming, fmt.Sprintf("channel %d has no session", f.channel)}
+	}
+	if s.dead {
+		if f.code == codeEnd {
+			delete(c.sessions, f.channel)
+		}
+		return nil
+	}
+	err := s.take(f)
+	// What is wrong within a session ends that session only.
+	if bad := (fault{}); errors.As(err, &bad) {
+		c.front.Core.Counters.BadLines.Add(1)
+		s.dead = true
+		s.lost()
+		return c.write(f.channel, perf{codeEnd, list{errorOf(bad.cond, bad.text, nil)}}, nil)
+	}
+	return err
+}
+
+// clientSession is a session of a client, with its links by their handles.
+type clientSession struct {
+	*session
+	client *client
+	links  map[uint32]*link
+	dead   bool // it has been ended from here
+}
+
+// lost tells all links that their client is gone.
+func (s *clientSession) lost() {
+	s.end()
+	for _, l := range s.links {
+		l.clientLost()
+	}
+}
+
+func (s *clientSession) take(f frame) error {
+	switch f.code {
+	case codeAttach:
+		return s.attach(f.perf)
+	case codeFlow:
+		if err := f.must(1, 2, 3); err != nil {
+			return err
+		}
+		s.flowed(f.perf)
+		if f.field(4) == nil {
+			if f.flag(9) {
+				return s.flow(perf{codeFlow, nil})
+			}
+			return nil
+		}
+	case codeTransfer:
+		if err := s.took(); err != nil {
+			return err
+		}
+	case codeDisposition:
+		if err := f.must(1); err != nil {
+			return err
+		}
+		for _, l := range s.links {
+			l.disposed(f.perf)
+		}
+		return nil
+	case codeEnd:
+		s.lost()
+		delete(s.client.sessions, s.channel)
+		return s.write(s.channel, perf{codeEnd, nil}, nil)
+	case codeDetach:
+	default:
+		return fault{condNotAllowed, fmt.Sprintf("performative %#x has no place here", f.code)}
+	}
+	at := 0
+	if f.code == codeFlow {
+		at = 4
+	}
+	if err := f.must(at); err != nil {
+		return err
+	}
+	handle := f.number(at, 0)
+	l := s.links[handle]
+	if l == nil {
+		return fault{condUnattached, fmt.Sprintf("handle %d has no link", handle)}
+	}
+	switch f.code {
+	case codeFlow:
+		return l.flowed(f.perf)
+	case codeTransfer:
+		return l.transferred(f)
+	}
+	delete(s.links, handle)
+	l.clientDetached(f.perf)
+	return nil
+}
+
+// attach begins a transaction.
+func (s *clientSession) attach(p perf) error {
+	if err := p.must(1); err != nil {
+		return err
+	}
+	name, named := p.field(0).(string)
+	role, told := p.field(2).(bool)
+	handle := p.number(1, 0)
+	switch {
+	case !named || !told:
+		return fault{condInvalid, "an attach has to tell its name and role"}
+	case handle > handleMost:
+		return fault{condNotAllowed, fmt.Sprintf("handle %d is over the most", handle)}
+	case s.links[handle] != nil:
+		return fault{condHandleInUse, fmt.Sprintf("handle %d has a link", handle)}
+	}
+	front := s.client.front
+	l := &link{
+		front: front, session: s.session, handle: handle, name: name,
+		attach: p, sends: !role, ids: newDeliveries(),
+	}
+	s.links[handle] = l
+	ask, err := front.ask(p, name)
+	if err != nil {
+		front.Core.Counters.BadLines.Add(1)
+		l.refuse(condInvalid, err.Error(), nil)
+		return nil
+	}
+	select {
+	case front.places <- struct{}{}:
+	default:
+		l.refuse(condLimit, "the relay holds as many links as it may", nil)
+		return nil
+	}
+	ctx, left := context.WithCancel(s.client.ctx)
+	l.left = left
+	s.client.links.Go(func() {
+		defer func() { <-front.places }()
+		defer left()
+		front.Core.Serve(ctx, ask, l)
+		l.finish()
+	})
+	return nil
+}
+
+// ask reads what the attach's properties say of the transaction.
+func (f *Front) ask(p perf, name string) (core.Ask, error) {
+	props, _ := p.field(13).(mapping)
+	ask := core.Ask{Front: "amqp", Name: name, Class: text(props.get(propClass))}
+	ask.Ask.Class = slices.Index(f.Classes, ask.Class)
+	wait, ok := whole(props.get(propGiveUp))
+	if ask.Ask.Class < 0 || !ok || wait > 1<<31 {
+		return ask, fmt.Errorf("the properties have to tell a known %q and %q", propClass, propGiveUp)
+	}
+	ask.GiveUp = f.Core.Clock.Now() + time.Duration(wait)*time.Millisecond
+	ask.Group = keyOf(props.get(propGroup))
+	ask.Item = keyOf(props.get(propItem))
+	ask.Return, _ = props.get(propAgain).(bool)
+	if us, ok := figure(props.get(propLoad)); ok {
+		ask.Load = us / 1e6
+	}
+	return ask, nil
+}
--- /dev/null
+++ b/internal/spoken/amqp/link.go
@@ -0,0 +1,336 @@
+package amqp
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"lockroad/balance"
+	"lockroad/internal/core"
+)
+
+// moveFor bounds the wait for the rest of a delivery before its link is moved.
+const moveFor = 300 * time.Millisecond
+
+// link is one transaction of a client.
+type link struct {
+	front   *Front
+	session *session // the client's
+	handle  uint32
+	name    string
+	attach  perf // the client's
+	sends   bool // deliveries go from the client to the server
+	left    func()
+	ids     *deliveries
+
+	mu       sync.Mutex
+	up       *upstream // the server, once it is the client's
+	pulse    *core.Pulse
+	credit   *perf // what the client has granted so far
+	attached bool  // the client has been answered
+	detached bool  // the client has been told of the end
+	gone     bool  // the client has ended its side
+}
+
+// keyOf is the number of a group or an item: a hexadecimal word as it is,
+// anything else by its hash.
+func keyOf(v any) uint64 {
+	if n, ok := whole(v); ok {
+		return n
+	}
+	word := text(v)
+	if word == "" {
+		return 0
+	}
+	if n, err := strconv.ParseUint(word, 16, 64); err == nil {
+		return n
+	}
+	h := fnv.New64a()
+	h.Write([]byte(word))
+	return h.Sum64()
+}
+
+// figure returns a number of any kind that a load can have.
+func figure(v any) (float64, bool) {
+	x, ok := v.(float64)
+	if !ok {
+		var n uint64
+		n, ok = whole(v)
+		x = float64(n)
+	}
+	return x, ok && x >= 0 && x < 1e12
+}
+
+// Join answers the client's attach with the server's and passes frames on, both
+// ways, until the connection has ended.
+func (l *link) Join(ctx context.Context, to core.Link, pulse *core.Pulse) balance.Status {
+	u := to.(*upstream)
+	defer close(u.stop)
+	stop := context.AfterFunc(ctx, u.Close)
+	defer stop()
+	l.mu.Lock()
+	l.up, l.pulse, l.attached = u, pulse, true
+	credit, gone := l.credit, l.gone
+	l.mu.Unlock()
+	if gone {
+		return balance.Cancelled
+	}
+	if l.session.write(l.session.channel, u.attach.with(0, l.name).with(1, l.handle), nil) != nil {
+		return balance.Cancelled
+	}
+	if u.credit != nil {
+		l.down(frame{perf: *u.credit})
+	}
+	if credit != nil {
+		u.flow(credit.with(4, uint32(0)))
+	}
+	return l.downstream(ctx, u, pulse)
+}
+
+// downstream passes on what the server says until its end.
+func (l *link) downstream(ctx context.Context, u *upstream, pulse *core.Pulse) balance.Status {
+	for {
+		f, err := u.read(frameAMQP, serverSilent)
+		l.mu.Lock()
+		gone := l.gone
+		l.mu.Unlock()
+		switch {
+		case ctx.Err() != nil: // moved or silent: the client is still to be told
+			return ended(ctx, balance.Cancelled)
+		case err != nil && gone:
+			return balance.Cancelled
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			pulse.Silent()
+			return balance.Reset
+		case err != nil:
+			l.detach(condForced, "the application server is lost", nil)
+			return balance.Reset
+		case f.empty:
+			continue
+		case f.code == codeDetach, f.code == codeEnd, f.code == codeClose:
+			return l.serverEnds(u, f, gone)
+		}
+		if !l.down(f) {
+			return balance.Cancelled
+		}
+	}
+}
+
+// serverEnds passes on the end that a server has set to the link.
+func (l *link) serverEnds(u *upstream, f frame, gone bool) balance.Status {
+	at := 0
+	if f.code == codeDetach {
+		at = 2
+		u.write(0, perf{codeDetach, list{uint32(0), true}}, nil)
+		u.write(0, perf{codeClose, nil}, nil)
+	}
+	cond, info := f.condition(at)
+	if !gone {
+		l.detach(cond, "the application server has ended the link", info)
+	}
+	switch {
+	case cond == "" && f.code == codeDetach:
+		return balance.OK
+	case cond == condDetachForced:
+		return balance.Cancelled // it drains and sends its clients away
+	case gone:
+		return balance.Cancelled
+	}
+	return balance.Reset
+}
+
+// down passes a frame of the server to the client. It tells whether the client
+// is still there.
+func (l *link) down(f frame) bool {
+	s := l.session
+	switch f.code {
+	case codeFlow:
+		if err := l.up.flowTaken(f.perf); err != nil || f.field(4) == nil {
+			return true
+		}
+		if props, ok := f.field(10).(mapping); ok {
+			if us, ok := figure(props.get(propLoad)); ok {
+				l.pulse.Load(us / 1e6)
+			}
+		}
+		return s.flow(f.with(4, l.handle)) == nil
+	case codeTransfer:
+		if l.sends || l.up.took() != nil {
+			return true // out of turn: left aside
+		}
+		l.pulse.Answered()
+		p, err := l.ids.carry(f.perf, s)
+		if err != nil {
+			return true
+		}
+		return s.transfer(p.with(0, l.handle), f.payload) == nil
+	case codeDisposition:
+		l.pulse.Answered()
+		for _, p := range l.ids.translate(f.perf, l.sends) {
+			if s.write(s.channel, p, nil) != nil {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// flowTaken takes the session's part of a flow.
+func (s *session) flowTaken(p perf) error {
+	if err := p.must(1, 2, 3); err != nil {
+		return err
+	}
+	s.flowed(p)
+	if p.field(4) == nil && p.flag(9) {
+		return s.flow(perf{codeFlow, nil})
+	}
+	return nil
+}
+
+// joined returns the server while frames pass.
+func (l *link) joined() (*upstream, *core.Pulse) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.detached || l.gone {
+		return nil, nil
+	}
+	return l.up, l.pulse
+}
+
+// flowed passes the client's credit on. Before the link is up it is kept.
+func (l *link) flowed(p perf) error {
+	l.mu.Lock()
+	if l.up == nil {
+		l.credit = &p
+	}
+	l.mu.Unlock()
+	if u, _ := l.joined(); u != nil {
+		u.flow(p.with(4, uint32(0))) // if this fails, the other direction sees why
+	}
+	return nil
+}
+
+// transferred passes a delivery of the client on, or a part of one.
+func (l *link) transferred(f frame) error {
+	u, pulse := l.joined()
+	l.mu.Lock()
+	early := l.up == nil && !l.detached
+	l.mu.Unlock()
+	switch {
+	case !l.sends:
+		return fault{condNotAllowed, "a receiver sends no transfers"}
+	case early: // nothing has granted credit yet
+		l.detach(condTransferLimit, "a transfer without credit", nil)
+		l.left()
+		return nil
+	case u == nil:
+		return nil // the end and the transfer have crossed
+	}
+	p, err := l.ids.carry(f.perf, u.session)
+	if err != nil {
+		return err
+	}
+	if !f.flag(5) && !f.flag(4) {
+		pulse.Asked()
+	}
+	u.transfer(p.with(0, uint32(0)), f.payload) // if this fails, the other direction sees why
+	return nil
+}
+
+// disposed passes on what the client says of deliveries, if they are this link's.
+func (l *link) disposed(p perf) {
+	// A receiver speaks of what came to it, a sender of what it has sent.
+	if u, _ := l.joined(); u != nil && p.flag(0) != l.sends {
+		for _, q := range l.ids.translate(p, !l.sends) {
+			u.write(0, q, nil)
+		}
+	}
+}
+
+// clientDetached takes the client's detach. Before the link is up, the client has
+// left; after that, the detach is the server's to answer.
+func (l *link) clientDetached(p perf) {
+	l.mu.Lock()
+	l.gone = true
+	u, told := l.up, l.detached
+	l.mu.Unlock()
+	switch {
+	case told:
+	case u == nil:
+		l.left()
+	default:
+		u.write(0, p.with(0, uint32(0)), nil)
+		u.SetReadDeadline(time.Now().Add(byeWait))
+	}
+}
+
+// clientLost ends the server's side as the client's has ended.
+func (l *link) clientLost() {
+	l.mu.Lock()
+	l.gone = true
+	u := l.up
+	l.mu.Unlock()
+	if l.left != nil {
+		l.left()
+	}
+	if u != nil {
+		u.Close()
+	}
+}
+
+// finish answers a client that has detached while its link was open.
+func (l *link) finish() { l.detach("", "", nil) }
+
+// detach tells the client of the end, once. It needs no credit.
+func (l *link) detach(cond, why string, info mapping) {
+	l.mu.Lock()
+	if l.detached {
+		l.mu.Unlock()
+		return
+	}
+	l.detached = true
+	answered := l.attached
+	l.mu.Unlock()
+	s := l.session
+	if !answered { // the standard wants an attach first, without what the relay would own
+		p := perf{codeAttach, list{l.name, l.handle, l.sends, nil, nil, l.attach.field(5), l.attach.field(6)}}
+		if l.sends {
+			p = p.with(6, nil)
+		} else {
+			p = p.with(5, nil).with(9, uint32(0))
+		}
+		if s.write(s.channel, p, nil) != nil {
+			return
+		}
+	}
+	s.write(s.channel, perf{codeDetach, list{l.handle, true, errorOf(cond, why, info)}}, nil)
+}
+
+// refuse answers an attach that never became a transaction.
+func (l *link) refuse(cond, why string, info mapping) { l.detach(cond, why, info) }
+
+// Unavailable answers that trying again is harmless.
+func (l *link) Unavailable(comeBack time.Duration) {
+	var info mapping
+	if comeBack >= time.Millisecond {
+		info = info.with(infoBack, uint32(comeBack.Milliseconds()))
+	}
+	l.detach(condLimit, "no application server takes it", info)
+}
+
+// Failed answers what promises nothing.
+func (l *link) Failed() { l.detach(condInternal, "the transaction has failed", nil) }
+
+// Move sends the client away politely: between two deliveries, if the one that
+// is under way ends in time.
+func (l *link) Move() {
+	select {
+	case <-l.ids.whole():
+	case <-time.After(moveFor):
+	}
+	l.detach(condDetachForced, "the client is to come again", nil)
+}
--- /dev/null
+++ b/internal/spoken/amqp/server.go
@@ -0,0 +1,194 @@
+package amqp
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"time"
+
+	"lockroad/balance"
+	"lockroad/internal/core"
+	"lockroad/internal/memory"
+)
+
+const (
+	serverIdle   = 2 * time.Second // an application server is told this much
+	serverSilent = 6 * time.Second // and is dead after this much
+
+	propClass  = "class"
+	propGiveUp = "give-up-ms"
+	propGroup  = "group"
+	propItem   = "item"
+	propLoad   = "load-us" // microseconds of work a second
+	propAgain  = "again"
+	infoBack   = "come-back-ms"
+)
+
+// upstream is an application server's side of a transaction: a connection of
+// its own, with one session and one link.
+type upstream struct {
+	*session
+	attach perf // the server's
+	credit *perf
+	stop   chan struct{}
+}
+
+// Close ends the connection at once.
+func (u *upstream) Close() {
+	u.session.end()
+	u.TCPConn.Close()
+}
+
+// dial opens a connection to a server up to where a link can be attached. All of
+// that is bounded as a connection's set-up: nothing has run by then.
+func dial(ctx context.Context, address string, bound time.Duration) (*upstream, error) {
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	d := net.Dialer{KeepAlive: -1}
+	tcp, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	u := &upstream{session: newSession(newConn(tcp.(*net.TCPConn)), 0), stop: make(chan struct{})}
+	cut := context.AfterFunc(ctx, func() { tcp.Close() })
+	err = u.greet(bound)
+	if !cut() {
+		err = errors.Join(err, ctx.Err())
+	}
+	if err != nil {
+		u.Close()
+		return nil, err
+	}
+	return u, nil
+}
+
+var errGreeting = errors.New("the server's greeting makes no sense")
+
+func (u *upstream) greet(bound time.Duration) error {
+	if err := u.header(headerSASL); err != nil {
+		return err
+	}
+	if h, err := u.readHeader(bound); err != nil || h != headerSASL {
+		return errors.Join(err, errGreeting)
+	}
+	f, err := u.read(frameSASL, bound)
+	if err != nil || f.code != codeMechanisms {
+		return errors.Join(err, errGreeting)
+	}
+	if err := u.sasl(perf{codeInit, list{symbol("ANONYMOUS"), []byte("lockroad")}}); err != nil {
+		return err
+	}
+	f, err = u.read(frameSASL, bound)
+	if err != nil || f.code != codeOutcome || f.number(0, 1) != 0 {
+		return errors.Join(err, errGreeting)
+	}
+	if err := u.header(headerAMQP); err != nil {
+		return err
+	}
+	if h, err := u.readHeader(bound); err != nil || h != headerAMQP {
+		return errors.Join(err, errGreeting)
+	}
+	if err := u.write(0, open("lockroad").with(4, uint32(serverIdle.Milliseconds())), nil); err != nil {
+		return err
+	}
+	if f, err = u.read(frameAMQP, bound); err != nil || f.code != codeOpen {
+		return errors.Join(err, errGreeting)
+	}
+	go u.beat(u.conn.opened(f.perf), u.stop)
+	if err := u.write(0, u.begin(nil), nil); err != nil {
+		return err
+	}
+	for {
+		f, err = u.read(frameAMQP, bound)
+		switch {
+		case err != nil:
+			return err
+		case f.empty:
+		case f.code == codeBegin:
+			return u.begun(f.perf)
+		default:
+			return errGreeting
+		}
+	}
+}
+
+// Pass attaches the client's link at a server, and waits for its attach and, if
+// the client is to send, for credit.
+func (l *link) Pass(ctx context.Context, to memory.Server, wait time.Duration) (up core.Link, how balance.Status) {
+	u, err := dial(ctx, to.Address, min(l.front.Core.Connect, wait))
+	if err != nil {
+		return nil, ended(ctx, balance.ConnectFailed)
+	}
+	stop := context.AfterFunc(ctx, u.Close)
+	how = l.ask(ctx, u, to, wait)
+	if !stop() && how == balance.OK {
+		how = ended(ctx, balance.Reset)
+	}
+	if how != balance.OK {
+		close(u.stop)
+		u.Close()
+		return nil, how
+	}
+	return u, how
+}
+
+// ask returns what came of the attach at a server.
+func (l *link) ask(ctx context.Context, u *upstream, to memory.Server, wait time.Duration) balance.Status {
+	if to.IsLeaving() {
+		return balance.Moot // it drains since the pass was picked
+	}
+	props, _ := l.attach.field(13).(mapping)
+	p := l.attach.with(1, uint32(0)).with(13, props.with(propGiveUp, uint32(max(1, wait.Milliseconds()))))
+	if err := u.write(0, p, nil); err != nil {
+		return ended(ctx, balance.ConnectFailed)
+	}
+	for {
+		f, err := u.read(frameAMQP, wait)
+		if err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				return balance.Timeout
+			}
+			return ended(ctx, balance.Reset)
+		}
+		switch {
+		case f.empty:
+		case f.code == codeAttach:
+			u.attach = f.perf
+		case f.code == codeFlow:
+			u.flowed(f.perf)
+			if f.number(6, 0) > 0 {
+				u.credit = &f.perf
+			}
+		case f.code == codeDetach:
+			return refused(f.perf, 2)
+		case f.code == codeEnd, f.code == codeClose:
+			return refused(f.perf, 0)
+		default:
+			return balance.Error
+		}
+		// An attach without the terminus that the server owns announces a refusal.
+		if !l.sends && u.attach.field(5) != nil || l.sends && u.attach.field(6) != nil && u.credit != nil {
+			return balance.OK
+		}
+	}
+}
+
+// refused is the outcome of a pass that a server has turned down.
+func refused(p perf, at int) balance.Status {
+	if cond, _ := p.condition(at); cond == condLimit {
+		return balance.Full
+	}
+	return balance.Error
+}
+
+// ended is the outcome of a pass that broke, or that was ended from here.
+func ended(ctx context.Context, broke balance.Status) balance.Status {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return balance.Timeout
+	case ctx.Err() != nil:
+		return balance.Cancelled
+	}
+	return broke
+}
--- /dev/null
+++ b/internal/spoken/amqp/session.go
@@ -0,0 +1,245 @@
+package amqp
+
+import (
+	"errors"
+	"sync"
+	"time"
+)
+
+const (
+	channelMost = 15   // sessions of a connection, less one
+	handleMost  = 255  // links of a session, less one
+	windowMost  = 1024 // transfers that may come in before the window is opened again
+	unsettled   = 4096 // deliveries of a link that may be unsettled at a time
+)
+
+// session is the relay's end of a session with a client or a server. Reads are
+// one goroutine's; any goroutine may write.
+type session struct {
+	*conn
+	channel uint16
+
+	mu       sync.Mutex
+	opened   chan struct{} // closed and renewed when the peer's window opens
+	over     bool
+	out      uint32 // number of our next transfer
+	window   uint32 // transfers that the peer still takes
+	in       uint32 // number of the peer's next transfer
+	left     uint32 // transfers that we still take
+	delivery uint32 // number of our next delivery
+}
+
+func newSession(c *conn, channel uint16) *session {
+	return &session{conn: c, channel: channel, opened: make(chan struct{}), left: windowMost}
+}
+
+// begin is the relay's begin; remote is the channel it answers, or nil.
+func (s *session) begin(remote any) perf {
+	return perf{codeBegin, list{remote, s.out, uint32(windowMost), uint32(windowMost), uint32(handleMost)}}
+}
+
+// begun takes the peer's begin.
+func (s *session) begun(p perf) error {
+	if err := p.must(1, 2, 3); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.in, s.window = p.number(1, 0), p.number(2, 0)
+	return nil
+}
+
+// flowed takes the session's part of a flow of the peer.
+func (s *session) flowed(p perf) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// What the peer still takes counts from the transfers that it has seen.
+	s.window = p.number(0, 0) + p.number(1, 0) - s.out
+	if int32(s.window) < 0 {
+		s.window = 0
+	}
+	close(s.opened)
+	s.opened = make(chan struct{})
+}
+
+// end lets those go who wait for the window.
+func (s *session) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.over {
+		s.over = true
+		close(s.opened)
+	}
+}
+
+var errWindow = errors.New("the peer's window stays shut")
+
+// room waits until the peer takes another transfer.
+func (s *session) await() error {
+	late := time.NewTimer(writeMost)
+	defer late.Stop()
+	for {
+		s.mu.Lock()
+		opened := s.opened
+		if s.over {
+			s.mu.Unlock()
+			return errQuit
+		}
+		if s.window > 0 {
+			s.window--
+			s.out++
+			s.mu.Unlock()
+			return nil
+		}
+		s.mu.Unlock()
+		select {
+		case <-opened:
+		case <-late.C:
+			return errWindow
+		}
+	}
+}
+
+// number gives out the number of the next delivery.
+func (s *session) number() uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delivery++
+	return s.delivery - 1
+}
+
+// transfer sends a transfer in as many frames as the peer wants.
+func (s *session) transfer(p perf, payload []byte) error {
+	room := s.room(p.with(5, true))
+	for {
+		if err := s.await(); err != nil {
+			return err
+		}
+		if len(payload) <= room {
+			return s.write(s.channel, p, payload)
+		}
+		if err := s.write(s.channel, p.with(5, true), payload[:room]); err != nil {
+			return err
+		}
+		payload = payload[room:]
+	}
+}
+
+// took counts a transfer that came in, and opens the window again in time.
+func (s *session) took() error {
+	s.mu.Lock()
+	if s.left == 0 {
+		s.mu.Unlock()
+		return fault{condWindow, "more transfers than the window takes"}
+	}
+	s.in++
+	s.left--
+	again := s.left <= windowMost/2
+	s.mu.Unlock()
+	if again {
+		return s.flow(perf{codeFlow, nil})
+	}
+	return nil
+}
+
+// flow sends a flow: the session's part is the relay's own, the rest as given.
+func (s *session) flow(p perf) error {
+	s.mu.Lock()
+	s.left = windowMost
+	p = p.with(0, s.in).with(1, uint32(windowMost)).with(2, s.out).with(3, uint32(windowMost))
+	s.mu.Unlock()
+	return s.write(s.channel, p, nil)
+}
+
+// deliveries maps the numbers of a link's unsettled deliveries between the two
+// sessions that it passes through.
+type deliveries struct {
+	mu     sync.Mutex
+	far    map[uint32]uint32 // by their number where they come from
+	near   map[uint32]uint32 // and the other way round
+	now    uint32            // the far number of the one that is coming in
+	coming bool
+	waits  []chan struct{} // to be closed once it is whole
+}
+
+func newDeliveries() *deliveries {
+	return &deliveries{far: make(map[uint32]uint32), near: make(map[uint32]uint32)}
+}
+
+// carry gives a transfer the number that it has in the session it goes to.
+func (d *deliveries) carry(p perf, to *session) (perf, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.coming {
+		if err := p.must(1); err != nil {
+			return p, err
+		}
+		d.now = p.number(1, 0)
+		if _, known := d.far[d.now]; known || len(d.far) >= unsettled {
+			return p, fault{condLimit, "too many deliveries are unsettled, or one has a number twice"}
+		}
+		n := to.number()
+		d.far[d.now], d.near[n] = n, d.now
+	}
+	n := d.far[d.now]
+	d.coming = p.flag(5) && !p.flag(9)
+	if !d.coming {
+		for _, done := range d.waits {
+			close(done)
+		}
+		d.waits = nil
+	}
+	if !d.coming && (p.flag(4) || p.flag(9)) {
+		delete(d.far, d.now)
+		delete(d.near, n)
+	}
+	return p.with(1, n), nil
+}
+
+// whole returns a channel that is closed once no delivery is in part.
+func (d *deliveries) whole() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	done := make(chan struct{})
+	if d.coming {
+		d.waits = append(d.waits, done)
+	} else {
+		close(done)
+	}
+	return done
+}
+
+// translate turns a disposition into those of the other session. back says that
+// it comes from where the deliveries go to.
+func (d *deliveries) translate(p perf, back bool) []perf {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	from, to := d.far, d.near
+	if back {
+		from, to = d.near, d.far
+	}
+	first := p.number(1, 0)
+	span := p.number(2, first) - first
+	var out []perf
+	pass := func(here, there uint32) {
+		out = append(out, p.with(1, there).with(2, there))
+		if p.flag(3) {
+			delete(from, here)
+			delete(to, there)
+		}
+	}
+	if span < uint32(len(from)) {
+		for i := uint32(0); i <= span; i++ {
+			if there, ok := from[first+i]; ok {
+				pass(first+i, there)
+			}
+		}
+		return out
+	}
+	for here, there := range from {
+		if here-first <= span {
+			pass(here, there)
+		}
+	}
+	return out
+}
--- a/internal/spoken/line/front.go
+++ b/internal/spoken/line/front.go
@@ -27,6 +27,8 @@
 	Core    *core.Core
 	Classes []string // their names, in the order of the settings
 	Most    int      // clients at a time; the rest get an unavailable answer
+
+	notes notes
 }
 
 // Serve takes clients until the listener is closed, and then sees those through
@@ -102,7 +104,7 @@
 	}
 	ctx, left := context.WithCancel(ctx)
 	defer left()
-	x := &exchange{client: c, opening: o, connect: f.Core.Connect, joined: make(chan joint, 1)}
+	x := &exchange{front: f, client: c, opening: o, joined: make(chan joint, 1)}
 	go x.upstream(left)
 	f.Core.Serve(ctx, ask, x)
 	close(x.joined)
@@ -113,6 +115,7 @@
 type server struct {
 	*net.TCPConn
 	r  *bufio.Reader
+	id balance.ServerID
 	up []byte // the line that says that it is up
 }
 
@@ -127,21 +130,21 @@
 
 // exchange is one client's transaction.
 type exchange struct {
+	front   *Front
 	client  *client
 	opening opening
-	connect time.Duration
 	joined  chan joint
 	ended   atomic.Bool // the client's own stream has
 }
 
 // Pass sends the opening to a server and waits for its answer.
 func (x *exchange) Pass(ctx context.Context, to memory.Server, wait time.Duration) (core.Link, balance.Status) {
-	d := net.Dialer{Timeout: x.connect, KeepAlive: -1}
+	d := net.Dialer{Timeout: x.front.Core.Connect, KeepAlive: -1}
 	conn, err := d.DialContext(ctx, "tcp", to.Address)
 	if err != nil {
 		return nil, ended(ctx, balance.ConnectFailed)
 	}
-	s := &server{TCPConn: conn.(*net.TCPConn), r: bufio.NewReaderSize(conn, maxLine)}
+	s := &server{TCPConn: conn.(*net.TCPConn), r: bufio.NewReaderSize(conn, maxLine), id: to.ID}
 	stop := context.AfterFunc(ctx, s.Close)
 	how := x.ask(ctx, s, to, wait)
 	if !stop() && how == balance.OK {
@@ -205,9 +208,12 @@
 	how := balance.Reset
 	var lines splitter
 	last := false
+	clock := x.front.Core.Clock
+	began := clock.Now()
 	buf := make([]byte, maxLine)
 	for {
 		n, err := s.r.Read(buf)
+		now := clock.Now()
 		lines.feed(buf[:n], func(text []byte) {
 			switch w, figure := parseWord(text); w {
 			case wordBye:
@@ -215,7 +221,11 @@
 			case wordMove:
 				how, last = balance.Cancelled, true
 			case wordLoad:
-				pulse.Load(figure / 1e6)
+				if x.front.notes.delay(s.id, figure, now, now-began) {
+					pulse.Delay(time.Duration(figure * float64(time.Millisecond)))
+				} else {
+					pulse.Load(figure / 1e6)
+				}
 			default:
 				pulse.Answered()
 			}
--- /dev/null
+++ b/internal/spoken/line/notes_test.go
@@ -0,0 +1,60 @@
+package line
+
+import (
+	"testing"
+	"time"
+)
+
+// A day lost a third of its service as delays were booked as loads: the module
+// never heard of the slow server, and none of its connections were moved.
+func TestDelaysAreToldFromLoads(t *testing.T) {
+	type told struct {
+		at     int // milliseconds
+		up     int // milliseconds since the connection came up
+		figure float64
+		delay  bool
+	}
+	for name, lines := range map[string][]told{
+		"a server that slows": {
+			{0, 5, 2116.4, false}, // at once: the load
+			{3470, 3000, 21.572, true}, {4470, 4000, 29.205, true}, {4800, 4000, 59682.3, false},
+			{5470, 5000, 397.448, true}, {6470, 6000, 622.583, true}, {7471, 7000, 1831.61, true},
+			{7990, 7000, 540.2, false}, // light, but off the beat
+			{9468, 9000, 10.87, true}, {14470, 9000, 17.3, true},
+		},
+		"a server that hangs": {
+			{970, 900, 6214.577, false}, // nothing tells it from a load yet
+			{1970, 900, 6214.577, true}, {2969, 900, 6214.577, true},
+		},
+		"loads only": {
+			{100, 20, 348232.7, false}, {950, 900, 8182.6, false}, {2400, 2300, 1702.5, false},
+			{3900, 3800, 25974.3, false}, {4200, 4100, 0, false},
+		},
+		"a beat that is lost": {
+			{0, 900, 20, true}, {1000, 900, 20, true}, {41300, 900, 30, true}, {42300, 900, 30, true},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var n notes
+			for _, l := range lines {
+				now := time.Hour + time.Duration(l.at)*time.Millisecond
+				if got := n.delay(7, l.figure, now, time.Duration(l.up)*time.Millisecond); got != l.delay {
+					t.Errorf("at %d ms, %v: delay is %v", l.at, l.figure, got)
+				}
+			}
+		})
+	}
+}
+
+func TestServersBeatApart(t *testing.T) {
+	var n notes
+	at := func(ms int) time.Duration { return time.Hour + time.Duration(ms)*time.Millisecond }
+	for i := range 3 {
+		if !n.delay(1, 50, at(1000*i), time.Second) || !n.delay(2, 50, at(1000*i+400), time.Second) {
+			t.Fatal("a delay was taken for a load")
+		}
+	}
+	if n.delay(1, 50, at(3400), time.Second) || !n.delay(2, 50, at(3400), time.Second) {
+		t.Error("the beat of one server was held for another's")
+	}
+}
