--- a/balance/balance.go
+++ b/balance/balance.go
@@ -183,6 +183,10 @@
 		return
 	}
 	s := b.pick(q)
+	if s == nil && !b.hope(q) {
+		b.end(q)
+		return
+	}
 	if s == nil || b.mustWait(s) {
 		b.rest(q, holdFor)
 		return
@@ -197,6 +201,14 @@
 	b.do(Send{Request: q.ID, Server: s.ID, Timeout: b.patience(q)})
 }
 
+// hope tells whether waiting can still find a request a server: one that is ready
+// and not yet tried. A request without hope is answered at once.
+func (b *Balancer) hope(q *request) bool {
+	return slices.ContainsFunc(b.fleet.servers, func(s *server) bool {
+		return s.State == Ready && q.mayUse(s) && !slices.Contains(q.tried, s.ID)
+	})
+}
+
 func (b *Balancer) rest(q *request, wait time.Duration) {
 	q.waiting, q.notBefore = true, b.now+wait
 	if q.notBefore < q.giveUp {
@@ -325,12 +337,29 @@
 	b.rest(q, wait)
 }
 
-// end gives the final answer. A refusal says that trying again is harmless, and
-// guards against clients that come back to servers as full as they were.
+// comeBack is the advice that a refusal carries, and guards against clients that
+// come back to servers as full as they were: when the first of the ready servers
+// is no longer held slow, after the backoff of the attempts made; the longest
+// where none is ready.
+func (b *Balancer) comeBack(q *request) time.Duration {
+	soonest := b.set.MaxRetryAfter
+	for _, s := range b.fleet.servers {
+		if s.State == Ready {
+			wait := backoffBase << min(q.attempts, 8)
+			if s.slowAt(b.now) {
+				wait = max(wait, s.delayAt+slowLife-b.now)
+			}
+			soonest = min(soonest, wait)
+		}
+	}
+	return soonest
+}
+
+// end gives the final answer. A refusal says that trying again is harmless.
 func (b *Balancer) end(q *request) {
 	ran := q.mayRun || q.at != nil
 	if !ran || q.class.Effect == Idempotent || q.class.Effect == Deduplicated && q.class.Scope == ScopeAll {
-		b.do(Refuse{Request: q.ID, RetryAfter: b.set.MaxRetryAfter})
+		b.do(Refuse{Request: q.ID, RetryAfter: b.comeBack(q)})
 	} else {
 		b.do(Fail{Request: q.ID})
 	}
--- a/balance/departures_test.go
+++ b/balance/departures_test.go
@@ -456,6 +456,34 @@
 	wantActions(t, append(done, r.pass(2*time.Second)...), Refuse{Request: id, RetryAfter: 1500 * ms})
 }
 
+// Who can't be served by anyone is told so at once, and when to come again.
+func TestRequestWithoutHopeIsAnsweredAtOnce(t *testing.T) {
+	s := testSettings()
+	s.MaxRetryAfter = 1500 * ms
+	r := newRelay(t, s, ready(2)...)
+	id, done := r.ask(7)
+	r.fail(id, r.sent(done, id), Full)
+	done = r.pass(backoffBase)
+	if count[Send](done) == 0 { // the draw may hold it back while it is eased in
+		done = r.pass(easeFor)
+	}
+	second := r.sent(done, id)
+	r.fail(id, second, Full)
+	wantActions(t, r.pass(2*backoffBase), Refuse{Request: id, RetryAfter: 1500 * ms})
+}
+
+// The advice is when the first server held slow takes work again.
+func TestAdviceGoesByTheServers(t *testing.T) {
+	s := testSettings()
+	s.MaxRetryAfter = 10 * time.Second
+	r := newRelay(t, s, ready(1)...)
+	up, to := r.open(7)
+	r.do(DelayNote{Request: up, Server: to, Delay: time.Second})
+	id, _ := r.ask(7)
+	left := 2*time.Second - 2*s.Tick
+	wantActions(t, r.pass(left), Refuse{Request: id, RetryAfter: slowLife - left})
+}
+
 // Load that is told with a request counts before the first note.
 func TestExpectedLoadCountsFromTheStart(t *testing.T) {
 	r := newRelay(t, testSettings(), ready(4)...)
--- a/cmd/lockroad/main.go
+++ b/cmd/lockroad/main.go
@@ -1,5 +1,5 @@
 // Command lockroad is the relay: it places clients' connections on application
-// servers and carries them.
+// servers and carries them. `lockroad console` talks to one that runs.
 package main
 
 import (
@@ -10,11 +10,19 @@
 	"os/signal"
 	"syscall"
 
+	"lockroad/internal/console"
 	"lockroad/internal/lifecycle"
 )
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == "console" {
+		os.Exit(console.Main(os.Args[2:], os.Stdin, os.Stdout, os.Stderr))
+	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	if len(os.Args) > 1 {
+		log.Error("the only argument is console", "got", os.Args[1])
+		os.Exit(console.ExitUsage)
+	}
 	if err := run(log); err != nil {
 		log.Error("the relay ends", "error", err)
 		os.Exit(1)
@@ -34,6 +42,10 @@
 	if err != nil {
 		return err
 	}
+	o, err := lifecycle.ReadOperator(os.Getenv("LOCKROAD_OPERATOR"))
+	if err != nil {
+		return err
+	}
 	terms := make(chan os.Signal, 1)
 	signal.Notify(terms, syscall.SIGTERM, os.Interrupt)
 	drain := make(chan struct{})
@@ -41,5 +53,5 @@
 		<-terms
 		close(drain)
 	}()
-	return lifecycle.Run(context.Background(), drain, c, log)
+	return lifecycle.Run(context.Background(), drain, c, o, log)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -40,6 +40,28 @@
 	Move()
 }
 
+// Observer is told of every transaction.
+type Observer interface {
+	Began(Ask) Trace
+}
+
+// Trace follows one transaction. Its methods are called one at a time.
+type Trace interface {
+	// Pass notes that a proxy pass begins; what it returns notes how it ended, or
+	// with balance.OK that it was accepted.
+	Pass(server balance.ServerID) func(how balance.Status)
+	Up()
+	Ended(answer string)
+}
+
+// untraced follows nothing.
+type untraced struct{}
+
+func (untraced) Began(Ask) Trace                            { return untraced{} }
+func (untraced) Pass(balance.ServerID) func(balance.Status) { return func(balance.Status) {} }
+func (untraced) Up()                                        {}
+func (untraced) Ended(string)                               {}
+
 // Core runs transactions over the module.
 type Core struct {
 	Clock        Clock
@@ -48,8 +70,9 @@
 	Counters     *memory.Counters
 	Connect      time.Duration // bound of a connection's set-up
 
-	facade *balance.Facade
-	pulses *pulses
+	facade   *balance.Facade
+	pulses   *pulses
+	observer Observer
 
 	leaving context.Context // ends once everyone is to move
 	moveAll context.CancelFunc
@@ -65,6 +88,7 @@
 		Counters:     &memory.Counters{},
 		Connect:      s.Connect,
 		facade:       balance.NewFacade(s, seed),
+		observer:     untraced{},
 		pulses:       newPulses(s, clock),
 		leaving:      leaving,
 		moveAll:      moveAll,
@@ -112,6 +136,10 @@
 // MoveAll has every transaction that stands, and every one that will, sent away.
 func (c *Core) MoveAll() { c.moveAll() }
 
+// Observe has an observer told of the transactions to come. It is called before
+// the first.
+func (c *Core) Observe(o Observer) { c.observer = o }
+
 // Leaving is closed once everyone is to move.
 func (c *Core) Leaving() <-chan struct{} { return c.leaving.Done() }
 
@@ -126,7 +154,11 @@
 		}),
 	}
 	defer c.Transactions.Remove(t.number)
-	t.run(ctx)
+	t.trace = c.observer.Began(ask)
+	end := t.run(ctx)
+	t.pass.stop()
+	c.Counters.End(end)
+	t.trace.Ended(end.String())
 }
 
 // transaction is one that is under way.
@@ -138,6 +170,7 @@
 	resumed bool // it is open at a server since before the relay's start
 	at      balance.ServerID
 	pass    *pass
+	trace   Trace
 }
 
 // pass is a proxy pass that is out, or the connection that it became.
@@ -156,43 +189,46 @@
 	}
 }
 
-func (t *transaction) run(ctx context.Context) {
+// run carries out what the module picks until the transaction is over.
+func (t *transaction) run(ctx context.Context) memory.End {
 	c := t.core
-	defer func() { t.pass.stop() }()
 	if t.resumed && !t.resume(ctx) {
-		return
+		t.x.Unavailable(0)
+		return memory.Unavailable
 	}
 	for {
 		step, err := c.facade.Pick(ctx, t.ticket)
 		if err != nil {
 			t.pass.stop()
 			c.facade.Report(balance.Left{Ticket: t.ticket})
-			c.Counters.ClientLeft.Add(1)
-			return
+			return memory.ClientLeft
 		}
 		switch step.Kind {
 		case balance.StepPass:
 			t.start(ctx, step)
 		case balance.StepUp:
+			t.trace.Up()
 			close(t.pass.granted)
 		case balance.StepUnavailable:
-			c.Counters.Unavailable.Add(1)
 			t.x.Unavailable(step.Wait)
-			return
+			return memory.Unavailable
 		case balance.StepFailed:
-			c.Counters.Failed.Add(1)
 			t.x.Failed()
-			return
+			return memory.Failed
 		case balance.StepMove:
-			c.Counters.Moved.Add(1)
 			t.x.Move()
-			return
+			return memory.Moved
 		case balance.StepOver:
-			if <-t.pass.ended; t.pass.cause == errSilent || t.pass.cause == errLeave {
-				c.Counters.Moved.Add(1)
+			<-t.pass.ended
+			switch t.pass.cause {
+			case errSilent:
+				t.x.Move()
+				return memory.Silent
+			case errLeave:
 				t.x.Move()
+				return memory.Moved
 			}
-			return
+			return memory.Ended
 		}
 	}
 }
@@ -207,12 +243,10 @@
 	c := t.core
 	to, ok := c.Farm.Find(t.at)
 	if !ok {
-		t.x.Unavailable(0)
 		return false
 	}
 	link, how := t.attempt(ctx, to, resumeWait)
 	if how != balance.OK {
-		t.x.Unavailable(0)
 		return false
 	}
 	t.launch(ctx, func(ctx context.Context, p *pass) balance.Status {
@@ -270,7 +304,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	ended := t.trace.Pass(to.ID)
 	link, how := t.x.Pass(ctx, to, wait)
+	ended(how)
 	assert.That((link != nil) == (how == balance.OK), "a pass gives a link exactly when it is up")
 	return link, how
 }
@@ -297,7 +333,6 @@
 	defer stop()
 	how := t.x.Join(ctx, link, pulse)
 	if context.Cause(ctx) == errSilent {
-		c.Counters.Silent.Add(1)
 		return balance.Reset
 	}
 	return how
--- a/internal/memory/counters.go
+++ b/internal/memory/counters.go
@@ -6,16 +6,29 @@
 	"lockroad/balance"
 )
 
+// End is how a transaction came to its end.
+type End uint8
+
+const (
+	Ended       End = iota // it stood, and one side has ended it
+	Unavailable            // the unavailable answer
+	Failed                 // the failed answer
+	ClientLeft             // its client left before its answer
+	Moved                  // its client was sent away politely
+	Silent                 // its server went silent; its client was sent away
+	ends
+)
+
+func (e End) String() string {
+	return [ends]string{"ended", "unavailable", "failed", "client_left", "moved", "silent"}[e]
+}
+
 // Counters counts what has happened since the start.
 type Counters struct {
 	Transactions atomic.Int64 // taken
 	Up           atomic.Int64 // accepted by an application server
-	Unavailable  atomic.Int64 // unavailable answers
-	Failed       atomic.Int64 // failed answers
-	ClientLeft   atomic.Int64 // left before their answer
-	Moved        atomic.Int64 // sent away politely
-	Silent       atomic.Int64 // ended as their server went silent
 	BadLines     atomic.Int64 // openings that made no sense
+	ends         [ends]atomic.Int64
 	passes       [8]atomic.Int64
 }
 
@@ -27,3 +40,21 @@
 
 // Passes returns how many passes have ended in a way.
 func (c *Counters) Passes(how balance.Status) int64 { return c.passes[how].Load() }
+
+// End counts the end of a transaction.
+func (c *Counters) End(e End) { c.ends[e].Add(1) }
+
+// EndCount is how many transactions came to one kind of end.
+type EndCount struct {
+	Name  string
+	Count int64
+}
+
+// Ends returns how many transactions came to each kind of end.
+func (c *Counters) Ends() []EndCount {
+	var out []EndCount
+	for e := range ends {
+		out = append(out, EndCount{e.String(), c.ends[e].Load()})
+	}
+	return out
+}
--- a/internal/memory/farm.go
+++ b/internal/memory/farm.go
@@ -133,3 +133,15 @@
 	slices.SortFunc(list, func(a, b Server) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
+
+// PhaseName is discovery's word for a phase.
+func PhaseName(p Phase) string { return [...]string{"gone", "ready", "draining"}[p] }
+
+// Phases returns how many servers are in each phase.
+func (f *Farm) Phases() [3]int64 {
+	var n [3]int64
+	for _, s := range f.List() {
+		n[s.Phase]++
+	}
+	return n
+}
--- a/internal/memory/transactions.go
+++ b/internal/memory/transactions.go
@@ -73,6 +73,17 @@
 	delete(t.all, number)
 }
 
+// Stages returns how many are at each stage.
+func (t *Transactions) Stages() [3]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var n [3]int64
+	for _, x := range t.all {
+		n[x.Stage]++
+	}
+	return n
+}
+
 // Len returns how many are under way.
 func (t *Transactions) Len() int {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/spoken/amqp/both_test.go
@@ -0,0 +1,577 @@
+package amqp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	client10 "github.com/Azure/go-amqp"
+
+	"lockroad/balance"
+	"lockroad/internal/core"
+	"lockroad/internal/memory"
+	"lockroad/internal/spoken/line"
+)
+
+// The same cases run through both fronts, with stand-ins for clients and
+// application servers on both sides of each, and have to end alike.
+
+// behaviour is what a stand-in of an application server does with a transaction.
+type behaviour int
+
+const (
+	accept   behaviour = iota
+	busy               // turns it away
+	fault1             // answers with an error
+	hang               // takes it and says nothing
+	breaks             // takes it and breaks the connection
+	noCredit           // attaches it and grants no credit; a line has no such thing and hangs
+	bye                // accepts it and ends it at once
+	sendAway           // accepts it and sends the client away at once
+	dies               // accepts it and breaks the connection
+)
+
+// script is what the servers of a case do with one transaction after another,
+// whichever of them it comes to. After its end they accept.
+type script struct {
+	mu    sync.Mutex
+	acts  []behaviour
+	taken int
+	out   int // transactions that are at a server and unanswered
+	most  int // of them at a time
+	ends  chan struct{}
+}
+
+func (s *script) next() behaviour {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.taken++
+	s.out++
+	s.most = max(s.most, s.out)
+	if len(s.acts) < s.taken {
+		return accept
+	}
+	return s.acts[s.taken-1]
+}
+
+func (s *script) answered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.out--
+}
+
+// seen is how a transaction went at the client.
+type seen struct {
+	answer string // up, unavailable, failed or lost
+	advice bool   // it was told when to come back
+	end    string // of a transaction that was up: ended, moved or broken
+}
+
+// server is a front.
+type server interface {
+	Serve(context.Context, net.Listener) error
+}
+
+// wire is one of the two ways to speak.
+type wire struct {
+	name  string
+	front func(k *core.Core) server
+	// server answers one connection to an application server.
+	server func(t *testing.T, c *net.TCPConn, s *script)
+	// open begins a transaction and waits for its answer; the client leaves with
+	// ctx. hold waits for the end of one that is up.
+	open func(ctx context.Context, address string, giveUp time.Duration) (answer string, advice bool, hold func() string)
+}
+
+var wires = []wire{
+	{name: "line", front: func(k *core.Core) server {
+		return &line.Front{Core: k, Classes: []string{"page"}, Most: 64}
+	}, server: lineServer, open: lineOpen},
+	{name: "amqp", front: func(k *core.Core) server {
+		return &Front{Core: k, Classes: []string{"page"}, Most: 64}
+	}, server: amqpServer, open: amqpOpen},
+}
+
+func lineServer(t *testing.T, c *net.TCPConn, s *script) {
+	r := bufio.NewReader(c)
+	text, err := r.ReadString('\n')
+	if err != nil {
+		return
+	}
+	if !strings.HasPrefix(text, "OPEN ") {
+		t.Errorf("a server was told %q", text)
+	}
+	act := s.next()
+	up := func(more string) { s.answered(); io.WriteString(c, "UP r1\r\n"+more) }
+	switch act {
+	case accept:
+		up("")
+		io.Copy(c, r)
+	case busy:
+		s.answered()
+		io.WriteString(c, "BUSY\r\n")
+	case fault1:
+		s.answered()
+		io.WriteString(c, "ERR\r\n")
+	case hang, noCredit:
+		io.Copy(io.Discard, r)
+		s.answered()
+	case breaks:
+		s.answered()
+		c.SetLinger(0)
+	case bye:
+		up("BYE\r\n")
+	case sendAway:
+		up("MOVE\r\n")
+	case dies:
+		up("")
+		c.SetLinger(0)
+	}
+}
+
+func lineOpen(ctx context.Context, address string, giveUp time.Duration) (string, bool, func() string) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return "lost", false, nil
+	}
+	context.AfterFunc(ctx, func() { c.Close() })
+	fmt.Fprintf(c, "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=page,d=%d,g=5c0f6e1a2b3d4c59\r\n", giveUp.Milliseconds())
+	r := bufio.NewReader(c)
+	text, err := r.ReadString('\n')
+	switch word := strings.Fields(text); {
+	case err != nil:
+		return "lost", false, nil
+	case word[0] == "BUSY":
+		return "unavailable", len(word) > 1, nil
+	case word[0] != "UP":
+		return "failed", false, nil
+	}
+	return "up", false, func() string {
+		for {
+			text, err := r.ReadString('\n')
+			switch {
+			case text == "BYE\r\n":
+				return "ended"
+			case text == "MOVE\r\n":
+				return "moved"
+			case err != nil:
+				return "broken"
+			}
+		}
+	}
+}
+
+// amqpServer greets as the standard has it and does as the script says.
+func amqpServer(t *testing.T, tcp *net.TCPConn, s *script) {
+	c := newConn(tcp)
+	const wait = 5 * time.Second
+	h, err := c.readHeader(wait)
+	if err != nil {
+		return
+	}
+	if h != headerSASL {
+		t.Errorf("a server was greeted with %q", h)
+	}
+	c.header(headerSASL)
+	c.sasl(perf{codeMechanisms, list{array{symbol("ANONYMOUS")}}})
+	if f, err := c.read(frameSASL, wait); err != nil || f.code != codeInit {
+		t.Errorf("a server got %v, %v for an init", f, err)
+		return
+	}
+	c.sasl(perf{codeOutcome, list{uint8(0)}})
+	c.readHeader(wait)
+	c.header(headerAMQP)
+	session := newSession(c, 0)
+	for {
+		f, err := c.read(frameAMQP, wait)
+		if err != nil {
+			return
+		}
+		switch f.code {
+		case codeOpen:
+			c.opened(f.perf)
+			c.write(0, open("server"), nil)
+		case codeBegin:
+			session.begun(f.perf)
+			c.write(0, session.begin(uint16(0)), nil)
+		case codeAttach:
+			if !amqpAttached(c, session, f.perf, s) {
+				return
+			}
+		case codeTransfer:
+			if f.flag(5) {
+				continue
+			}
+			c.write(0, perf{codeDisposition, list{true, f.field(1), nil, true, described{uint64(0x24), list{}}}}, nil)
+		case codeDetach:
+			c.write(0, perf{codeDetach, list{uint32(0), true}}, nil)
+		case codeClose:
+			return
+		}
+	}
+}
+
+// amqpAttached tells whether the connection goes on.
+func amqpAttached(c *conn, session *session, p perf, s *script) bool {
+	act := s.next()
+	reply := p.with(1, uint32(0)).with(2, !p.flag(2)).with(9, nil).with(13, nil)
+	end := func(cond string) bool {
+		var e any
+		if cond != "" {
+			e = errorOf(cond, "as the case has it", nil)
+		}
+		c.write(0, perf{codeDetach, list{uint32(0), true, e}}, nil)
+		return true
+	}
+	up := func() {
+		s.answered()
+		c.write(0, reply, nil)
+		session.flow(perf{codeFlow, list{nil, nil, nil, nil, uint32(0), uint32(0), uint32(10)}})
+	}
+	switch act {
+	case accept:
+		up()
+	case busy:
+		s.answered()
+		c.write(0, reply.with(6, nil), nil)
+		return end(condLimit)
+	case fault1:
+		s.answered()
+		c.write(0, reply.with(6, nil), nil)
+		return end(condInternal)
+	case hang, noCredit:
+		if act == noCredit {
+			c.write(0, reply, nil)
+		}
+		io.Copy(io.Discard, c.r)
+		s.answered()
+		return false
+	case breaks:
+		s.answered()
+		c.SetLinger(0)
+		return false
+	case bye:
+		up()
+		return end("")
+	case sendAway:
+		up()
+		return end(condDetachForced)
+	case dies:
+		up()
+		c.SetLinger(0)
+		return false
+	}
+	return true
+}
+
+func amqpOpen(ctx context.Context, address string, giveUp time.Duration) (string, bool, func() string) {
+	c, err := client10.Dial(ctx, "amqp://"+address, &client10.ConnOptions{SASLType: client10.SASLTypeAnonymous()})
+	if err != nil {
+		return "lost", false, nil
+	}
+	context.AfterFunc(ctx, func() { c.Close() })
+	session, err := c.NewSession(ctx, nil)
+	if err != nil {
+		return "lost", false, nil
+	}
+	sender, err := session.NewSender(ctx, "score", &client10.SenderOptions{Properties: map[string]any{
+		propClass: "page", propGiveUp: uint32(giveUp.Milliseconds()), propGroup: "5c0f6e1a2b3d4c59",
+	}})
+	var end *client10.Error
+	switch {
+	case err != nil && !errors.As(err, &end):
+		return "lost", false, nil
+	case err != nil && end.Condition == client10.ErrCond(condLimit):
+		_, told := end.Info[infoBack]
+		return "unavailable", told, nil
+	case err != nil:
+		return "failed", false, nil
+	}
+	return "up", false, func() string {
+		for {
+			err := sender.Send(context.Background(), client10.NewMessage([]byte("a note")), nil)
+			var gone *client10.LinkError
+			switch {
+			case err == nil:
+				continue
+			case !errors.As(err, &gone) || gone.RemoteErr != nil && gone.RemoteErr.Condition == client10.ErrCond(condForced):
+				return "broken"
+			case gone.RemoteErr == nil:
+				return "ended"
+			case gone.RemoteErr.Condition == client10.ErrCond(condDetachForced):
+				return "moved"
+			}
+			return gone.Error()
+		}
+	}
+}
+
+// verdict is how a case went.
+type verdict struct {
+	seen   []seen
+	passes string // outcomes of passes, as counted
+	taken  int    // transactions that came to a server
+}
+
+// rig is a core with one front and a farm of stand-ins.
+type rig struct {
+	core    *core.Core
+	script  *script
+	address string
+	farm    []balance.Server
+	names   []string
+}
+
+func newRig(t *testing.T, w wire, servers int, acts []behaviour) *rig {
+	t.Helper()
+	set := balance.Settings{
+		Classes:     []balance.Class{{Aim: 200 * time.Millisecond, Deadline: patience}},
+		Relays:      1,
+		MaxAttempts: 3, Tick: 2 * time.Millisecond, Connect: 400 * time.Millisecond,
+		MaxRetryAfter: 2 * time.Second, ColdShare: 0.2, ColdFor: 20 * time.Second, TipMultiple: 3, TipAfter: 3 * time.Second,
+	}
+	if err := set.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{core: core.New(set, 1, core.NewClock()), script: &script{acts: acts, ends: make(chan struct{}, 64)}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	for i := range servers {
+		l := listen(t)
+		r.names = append(r.names, l.Addr().String())
+		r.farm = append(r.farm, balance.Server{
+			ID: r.core.Farm.ID(fmt.Sprintf("s-%d", i+1)), State: balance.Ready, Weight: 1,
+		})
+		all.Go(func() { serveAll(t, l, w, r.script) })
+		context.AfterFunc(ctx, func() { l.Close() })
+	}
+	r.core.Listed(balance.ListFull, r.farm, r.names)
+	l := listen(t)
+	r.address = l.Addr().String()
+	all.Go(func() { r.core.Run(ctx) })
+	all.Go(func() { w.front(r.core).Serve(ctx, l) })
+	t.Cleanup(func() {
+		l.Close()
+		cancel()
+		all.Wait()
+	})
+	return r
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// serveAll answers a stand-in's connections until its listener is closed, and
+// then ends them.
+func serveAll(t *testing.T, l net.Listener, w wire, s *script) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	var mu sync.Mutex
+	var open []net.Conn
+	defer func() {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range open {
+			c.Close()
+		}
+	}()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		mu.Lock()
+		open = append(open, c)
+		mu.Unlock()
+		all.Go(func() {
+			w.server(t, c.(*net.TCPConn), s)
+			c.Close()
+			select {
+			case s.ends <- struct{}{}:
+			default:
+			}
+		})
+	}
+}
+
+// list changes the phase of all servers.
+func (r *rig) list(phase balance.State, born time.Duration) {
+	r.farm = slices.Clone(r.farm) // what was handed over is the core's
+	for i := range r.farm {
+		r.farm[i].State, r.farm[i].Born = phase, born
+	}
+	r.core.Listed(balance.ListDelta, r.farm, r.names)
+}
+
+// settled waits until no transaction is under way and returns the verdict.
+func (r *rig) settled(t *testing.T, all ...seen) verdict {
+	t.Helper()
+	for late := time.Now().Add(5 * time.Second); r.core.Transactions.Len() > 0; {
+		if time.Now().After(late) {
+			t.Fatal("a transaction is under way long after its end")
+		}
+		time.Sleep(time.Millisecond) // a poll with a bound: nothing waits for it
+	}
+	var passes []string
+	for i, name := range memory.Statuses {
+		if n := r.core.Counters.Passes(balance.Status(i)); n > 0 {
+			passes = append(passes, fmt.Sprintf("%s=%d", name, n))
+		}
+	}
+	r.script.mu.Lock()
+	defer r.script.mu.Unlock()
+	if r.script.most > 1 && len(all) == 1 {
+		t.Errorf("%d passes were out at once", r.script.most)
+	}
+	return verdict{seen: all, passes: strings.Join(passes, " "), taken: r.script.taken}
+}
+
+// one sees a single transaction through. Its client stays to the end if it is up.
+func one(t *testing.T, r *rig, w wire, giveUp time.Duration, meanwhile func()) seen {
+	t.Helper()
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	began := time.Now()
+	answer, advice, hold := w.open(ctx, r.address, giveUp)
+	if took := time.Since(began); took > giveUp+time.Second {
+		t.Errorf("answered after %v, the client gives up after %v", took, giveUp)
+	}
+	s := seen{answer: answer, advice: advice}
+	if hold != nil {
+		if meanwhile != nil {
+			meanwhile()
+		}
+		s.end = hold()
+	}
+	return s
+}
+
+const patience = 1200 * time.Millisecond
+
+func TestBothFrontsGiveTheSameVerdicts(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		servers int
+		acts    []behaviour
+		run     func(t *testing.T, r *rig, w wire) verdict
+		want    verdict
+	}{
+		{"served to its end", 2, []behaviour{bye}, nil,
+			verdict{[]seen{{"up", false, "ended"}}, "ok=1", 1}},
+		{"busy, then up", 2, []behaviour{busy, bye}, nil,
+			verdict{[]seen{{"up", false, "ended"}}, "ok=1 full=1", 2}},
+		{"busy everywhere", 2, []behaviour{busy, busy}, nil,
+			verdict{[]seen{{"unavailable", true, ""}}, "full=2", 2}},
+		{"error, then up", 2, []behaviour{fault1, bye}, nil,
+			verdict{[]seen{{"up", false, "ended"}}, "ok=1 error=1", 2}},
+		{"reset, then up", 2, []behaviour{breaks, bye}, nil,
+			verdict{[]seen{{"up", false, "ended"}}, "ok=1 reset=1", 2}},
+		{"a hung server, then up", 2, []behaviour{hang, bye}, nil,
+			verdict{[]seen{{"up", false, "ended"}}, "ok=1 timeout=1", 2}},
+		{"no credit, then up", 2, []behaviour{noCredit, bye}, nil,
+			verdict{[]seen{{"up", false, "ended"}}, "ok=1 timeout=1", 2}},
+		{"no credit until the deadline", 1, []behaviour{noCredit}, nil,
+			verdict{[]seen{{"unavailable", true, ""}}, "timeout=1", 1}},
+		{"hung until the deadline", 1, []behaviour{hang}, nil,
+			verdict{[]seen{{"unavailable", true, ""}}, "timeout=1", 1}},
+		{"sent away by the server", 1, []behaviour{sendAway}, nil,
+			verdict{[]seen{{"up", false, "moved"}}, "cancelled=1", 1}},
+		{"the server dies", 1, []behaviour{dies}, nil,
+			verdict{[]seen{{"up", false, "broken"}}, "reset=1", 1}},
+		{"the relay leaves", 1, []behaviour{accept},
+			func(t *testing.T, r *rig, w wire) verdict {
+				return r.settled(t, one(t, r, w, patience, r.core.MoveAll))
+			},
+			verdict{[]seen{{"up", false, "moved"}}, "cancelled=1", 1}},
+		{"the client leaves a pass that is out", 1, []behaviour{hang}, clientLeaves,
+			verdict{[]seen{{"lost", false, ""}}, "cancelled=1", 1}},
+		{"nothing goes to a draining server", 2, nil,
+			func(t *testing.T, r *rig, w wire) verdict {
+				r.list(balance.Draining, 0)
+				return r.settled(t, one(t, r, w, patience, nil))
+			},
+			verdict{[]seen{{"unavailable", true, ""}}, "", 0}},
+		{"nothing goes to a server that is gone", 2, nil,
+			func(t *testing.T, r *rig, w wire) verdict {
+				r.list(balance.Gone, 0)
+				return r.settled(t, one(t, r, w, patience, nil))
+			},
+			verdict{[]seen{{"unavailable", true, ""}}, "", 0}},
+		{"a cold server is spared", 1, []behaviour{bye, bye, bye, bye, bye, bye}, crowdAtColdServer,
+			verdict{[]seen{
+				{"unavailable", true, ""}, {"unavailable", true, ""}, {"unavailable", true, ""}, {"up", false, "ended"},
+			}, "ok=1", 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, w := range wires {
+				t.Run(w.name, func(t *testing.T) {
+					t.Parallel()
+					r := newRig(t, w, c.servers, c.acts)
+					run := c.run
+					if run == nil {
+						run = func(t *testing.T, r *rig, w wire) verdict {
+							return r.settled(t, one(t, r, w, patience, nil))
+						}
+					}
+					got := run(t, r, w)
+					if !slices.Equal(got.seen, c.want.seen) || got.passes != c.want.passes || got.taken != c.want.taken {
+						t.Errorf("got  %+v\nwant %+v", got, c.want)
+					}
+				})
+			}
+		})
+	}
+}
+
+// clientLeaves has the client go while the server says nothing: the pass is
+// closed with it.
+func clientLeaves(t *testing.T, r *rig, w wire) verdict {
+	ctx, leave := context.WithCancel(context.Background())
+	result := make(chan seen)
+	go func() {
+		answer, advice, _ := w.open(ctx, r.address, 5*time.Second)
+		result <- seen{answer: answer, advice: advice}
+	}()
+	for out := 0; out == 0; time.Sleep(time.Millisecond) { // a poll: the test's own limit bounds it
+		r.script.mu.Lock()
+		out = r.script.out
+		r.script.mu.Unlock()
+	}
+	leave()
+	s := <-result
+	select {
+	case <-r.script.ends:
+	case <-time.After(2 * time.Second):
+		t.Error("the pass is still out though its client has left")
+	}
+	return r.settled(t, s)
+}
+
+// crowdAtColdServer has four clients ask at once for a server that has just
+// started. Within the time that could push it over it takes one of them.
+func crowdAtColdServer(t *testing.T, r *rig, w wire) verdict {
+	r.list(balance.Ready, r.core.Clock.Now()-18*time.Second)
+	var all sync.WaitGroup
+	got := make([]seen, 4)
+	for i := range got {
+		all.Go(func() { got[i] = one(t, r, w, patience, nil) })
+	}
+	all.Wait()
+	slices.SortFunc(got, func(a, b seen) int { return -strings.Compare(a.answer, b.answer) })
+	slices.Reverse(got)
+	return r.settled(t, got...)
+}
--- a/internal/spoken/amqp/codec.go
+++ b/internal/spoken/amqp/codec.go
@@ -339,9 +339,36 @@
 	case described:
 		return encode(encode(append(b, 0), v.descriptor), v.value)
 	}
+	if short, ok := compact(b, v); ok {
+		return short
+	}
 	return bare(append(b, wide(v)), v)
 }
 
+// compact appends a value in its short form, where it has one: some peers read
+// the codes of performatives in no other.
+func compact(b []byte, v any) ([]byte, bool) {
+	sized := func(code byte, s string) ([]byte, bool) {
+		if len(s) > 255 {
+			return b, false
+		}
+		return append(append(b, code, byte(len(s))), s...), true
+	}
+	switch v := v.(type) {
+	case uint32:
+		return append(b, 0x52, byte(v)), v < 256
+	case uint64:
+		return append(b, 0x53, byte(v)), v < 256
+	case []byte:
+		return sized(0xa0, string(v))
+	case string:
+		return sized(0xa1, v)
+	case symbol:
+		return sized(0xa3, string(v))
+	}
+	return b, false
+}
+
 // wide returns the constructor of the widest form of a value.
 func wide(v any) byte {
 	switch v := v.(type) {
--- a/internal/spoken/amqp/front.go
+++ b/internal/spoken/amqp/front.go
@@ -1,6 +1,7 @@
 package amqp
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -25,6 +26,9 @@
 	Core    *core.Core
 	Classes []string // their names, in the order of the settings
 	Most    int      // links at a time; the rest are turned away
+	// ServerPort is where application servers speak AMQP; 0: as discovery says.
+	ServerPort int
+	Idle       time.Duration // a client that is silent for this long goes; 0: the usual
 
 	places chan struct{}
 	once   sync.Once
@@ -89,8 +93,9 @@
 		return err
 	}
 	go c.leave()
+	idle := cmp.Or(c.front.Idle, idleMost)
 	for {
-		f, err := c.read(frameAMQP, idleMost)
+		f, err := c.read(frameAMQP, idle)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return fault{condLimit, "nothing has come for the time of the idle time-out"}
 		}
--- /dev/null
+++ b/internal/spoken/amqp/passing_test.go
@@ -0,0 +1,318 @@
+package amqp
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	client10 "github.com/Azure/go-amqp"
+
+	"lockroad/internal/core"
+)
+
+// dialFront opens a session of an independent client at a front.
+func dialFront(t *testing.T, address string) *client10.Session {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	t.Cleanup(cancel)
+	c, err := client10.Dial(ctx, "amqp://"+address, &client10.ConnOptions{
+		SASLType: client10.SASLTypeAnonymous(), MaxFrameSize: 1024,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	session, err := c.NewSession(ctx, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return session
+}
+
+func linkProperties() map[string]any {
+	return map[string]any{propClass: "page", propGiveUp: uint32(2000), propGroup: "ab"}
+}
+
+// What a client sends comes out at the server as it was, in frames of any size,
+// and what the server says of it comes back.
+func TestDeliveriesPassUp(t *testing.T) {
+	r := newRig(t, wires[1], 1, nil)
+	session := dialFront(t, r.address)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	sender, err := session.NewSender(ctx, "score", &client10.SenderOptions{Properties: linkProperties()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, size := range []int{0, 10, 900, 5000, 3 * ourMost} {
+		if err := sender.Send(ctx, client10.NewMessage(bytes.Repeat([]byte("n"), size)), nil); err != nil {
+			t.Fatalf("a message of %d bytes: %v", size, err)
+		}
+	}
+	if err := sender.Close(ctx); err != nil {
+		t.Error(err)
+	}
+	r.settled(t)
+}
+
+// A server's pages come out at the client as they were, under the client's
+// credit; the client's word on them comes back to the server.
+func TestDeliveriesPassDown(t *testing.T) {
+	const pages = 30
+	settled := make(chan uint32, pages)
+	w := wires[1]
+	w.server = func(t *testing.T, tcp *net.TCPConn, _ *script) { pageServer(t, tcp, pages, settled) }
+	r := newRig(t, w, 1, nil)
+	session := dialFront(t, r.address)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	receiver, err := session.NewReceiver(ctx, "pages", &client10.ReceiverOptions{Properties: linkProperties(), Credit: 4})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range pages {
+		m, err := receiver.Receive(ctx, nil)
+		if err != nil {
+			t.Fatalf("page %d: %v", i, err)
+		}
+		if got := m.GetData(); !bytes.Equal(got, page(i)) {
+			t.Fatalf("page %d has %d bytes, want %d", i, len(got), len(page(i)))
+		}
+		if err := receiver.AcceptMessage(ctx, m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range pages {
+		select {
+		case id := <-settled:
+			if id != uint32(i) {
+				t.Errorf("delivery %d was settled, want %d", id, i)
+			}
+		case <-ctx.Done():
+			t.Fatalf("%d pages were settled, want %d", i, pages)
+		}
+	}
+}
+
+func page(i int) []byte { return bytes.Repeat([]byte{byte(i)}, i*i*20) }
+
+// pageServer sends pages as far as the client's credit goes.
+func pageServer(t *testing.T, tcp *net.TCPConn, pages int, settled chan<- uint32) {
+	c := newConn(tcp)
+	const wait = 5 * time.Second
+	c.readHeader(wait)
+	c.header(headerSASL)
+	c.sasl(perf{codeMechanisms, list{array{symbol("ANONYMOUS")}}})
+	c.read(frameSASL, wait)
+	c.sasl(perf{codeOutcome, list{uint8(0)}})
+	c.readHeader(wait)
+	c.header(headerAMQP)
+	session := newSession(c, 0)
+	sent := 0
+	for {
+		f, err := c.read(frameAMQP, wait)
+		if err != nil {
+			return
+		}
+		switch f.code {
+		case codeOpen:
+			c.opened(f.perf)
+			c.write(0, open("server"), nil)
+		case codeBegin:
+			session.begun(f.perf)
+			c.write(0, session.begin(uint16(0)), nil)
+		case codeAttach:
+			c.write(0, f.perf.with(1, uint32(0)).with(2, false).with(9, uint32(0)).with(13, nil), nil)
+		case codeDisposition:
+			for id := f.number(1, 0); id <= f.number(2, f.number(1, 0)); id++ {
+				settled <- id
+			}
+		case codeFlow:
+			session.flowed(f.perf)
+			for most := int(f.number(5, 0) + f.number(6, 0)); sent < min(pages, most); sent++ {
+				body := encode(nil, described{uint64(0x75), page(sent)})
+				tag := binary.BigEndian.AppendUint32(nil, uint32(sent))
+				p := perf{codeTransfer, list{uint32(0), uint32(sent), tag, uint32(0), false, false}}
+				if err := session.transfer(p, body); err != nil {
+					t.Errorf("page %d: %v", sent, err)
+				}
+			}
+		}
+	}
+}
+
+// raw is a client that says what no library would.
+type raw struct {
+	*conn
+	t *testing.T
+}
+
+func dialRaw(t *testing.T, address string) *raw {
+	t.Helper()
+	tcp, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { tcp.Close() })
+	c := &raw{newConn(tcp.(*net.TCPConn)), t}
+	c.header(headerAMQP)
+	if h, err := c.readHeader(time.Second); err != nil || h != headerAMQP {
+		t.Fatalf("the front answers %q, %v", h, err)
+	}
+	c.write(0, open("raw"), nil)
+	c.want(codeOpen, 0, "")
+	return c
+}
+
+func (c *raw) begin() *raw {
+	c.write(3, perf{codeBegin, list{nil, uint32(0), uint32(100), uint32(100)}}, nil)
+	c.want(codeBegin, 0, "")
+	return c
+}
+
+func (c *raw) attach(handle uint32, props mapping) {
+	c.write(3, perf{codeAttach, list{"a link", handle, false, nil, nil,
+		described{uint64(0x28), list{"here"}}, described{uint64(0x29), list{"there"}}, nil, nil, uint32(0), nil, nil, nil, props}}, nil)
+}
+
+// want waits for a performative with a condition at a field.
+func (c *raw) want(code uint64, at int, cond string) frame {
+	c.t.Helper()
+	for {
+		f, err := c.read(frameAMQP, 3*time.Second)
+		if err != nil {
+			c.t.Fatalf("waiting for %#x: %v", code, err)
+		}
+		if f.empty {
+			continue
+		}
+		got, _ := f.condition(at)
+		if f.code != code || got != cond {
+			c.t.Fatalf("got %#x with %q, want %#x with %q", f.code, got, code, cond)
+		}
+		return f
+	}
+}
+
+func TestWrongFramesGetTheStandardsConditions(t *testing.T) {
+	props := mapping{symbol(propClass), "page", symbol(propGiveUp), uint32(400)}
+	for name, c := range map[string]struct {
+		acts []behaviour
+		do   func(c *raw)
+	}{
+		"a frame that is too large": {nil, func(c *raw) {
+			c.Write([]byte{0, 1, 0, 0, 2, 0, 0, 0})
+			c.want(codeClose, 0, condFraming)
+		}},
+		"a frame that is too small": {nil, func(c *raw) {
+			c.Write([]byte{0, 0, 0, 7, 2, 0, 0})
+			c.want(codeClose, 0, condFraming)
+		}},
+		"a data offset out of range": {nil, func(c *raw) {
+			c.Write([]byte{0, 0, 0, 8, 9, 0, 0, 0})
+			c.want(codeClose, 0, condFraming)
+		}},
+		"a value that makes no sense": {nil, func(c *raw) {
+			c.Write([]byte{0, 0, 0, 11, 2, 0, 0, 0, 0, 0x53, 0x13})
+			c.want(codeClose, 0, condDecode)
+		}},
+		"a channel without a session": {nil, func(c *raw) {
+			c.write(9, perf{codeFlow, list{nil, uint32(1), uint32(1), uint32(1)}}, nil)
+			c.want(codeClose, 0, condFraming)
+		}},
+		"a channel over the most": {nil, func(c *raw) {
+			c.write(channelMost+1, perf{codeBegin, list{nil, uint32(0), uint32(1), uint32(1)}}, nil)
+			c.want(codeClose, 0, condNotAllowed)
+		}},
+		"a handle without a link": {nil, func(c *raw) {
+			c.begin().write(3, perf{codeTransfer, list{uint32(5), uint32(0), []byte("t")}}, nil)
+			c.want(codeEnd, 0, condUnattached)
+		}},
+		"a handle that is in use": {[]behaviour{hang}, func(c *raw) {
+			c.begin().attach(1, props)
+			c.attach(1, props)
+			c.want(codeEnd, 0, condHandleInUse)
+		}},
+		"an attach without its properties": {nil, func(c *raw) {
+			c.begin().attach(1, nil)
+			c.want(codeAttach, 0, "")
+			c.want(codeDetach, 2, condInvalid)
+		}},
+		"a transfer without credit": {[]behaviour{hang}, func(c *raw) {
+			c.begin().attach(1, props)
+			c.write(3, perf{codeTransfer, list{uint32(1), uint32(0), []byte("t")}}, nil)
+			c.want(codeAttach, 0, "")
+			c.want(codeDetach, 2, condTransferLimit)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, wires[1], 1, c.acts)
+			c.do(dialRaw(t, r.address))
+			r.settled(t)
+		})
+	}
+}
+
+func TestSilentClientIsClosed(t *testing.T) {
+	w := wires[1]
+	w.front = func(k *core.Core) server {
+		return &Front{Core: k, Classes: []string{"page"}, Most: 64, Idle: 100 * time.Millisecond}
+	}
+	r := newRig(t, w, 1, nil)
+	dialRaw(t, r.address).want(codeClose, 0, condLimit)
+}
+
+// A refusal needs no credit, and comes while the give-up time still runs.
+func TestFinalAnswerNeedsNoCredit(t *testing.T) {
+	r := newRig(t, wires[1], 1, []behaviour{noCredit})
+	c := dialRaw(t, r.address).begin()
+	c.attach(1, mapping{symbol(propClass), "page", symbol(propGiveUp), uint32(400)})
+	began := time.Now()
+	c.want(codeAttach, 0, "")
+	c.want(codeDetach, 2, condLimit)
+	if took := time.Since(began); took > 1400*time.Millisecond {
+		t.Errorf("answered after %v", took)
+	}
+	r.settled(t)
+}
+
+// The relay's heartbeat keeps within the idle time-out that a peer asks for.
+func TestIdlePeerIsKeptAlive(t *testing.T) {
+	r := newRig(t, wires[1], 1, nil)
+	tcp, err := net.Dial("tcp", r.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tcp.Close()
+	c := newConn(tcp.(*net.TCPConn))
+	c.header(headerAMQP)
+	c.readHeader(time.Second)
+	c.write(0, open("idle").with(4, uint32(90)), nil)
+	for beats := 0; beats < 3; {
+		f, err := c.read(frameAMQP, 90*time.Millisecond)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if f.empty {
+			beats++
+		}
+	}
+}
+
+func TestOtherProtocolsAreToldOurs(t *testing.T) {
+	r := newRig(t, wires[1], 1, nil)
+	c, err := net.Dial("tcp", r.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "GET / HTTP/1.1\r\n\r\n")
+	c.SetReadDeadline(time.Now().Add(3 * time.Second))
+	if got, _ := io.ReadAll(c); string(got) != string(headerAMQP[:]) {
+		t.Errorf("the front answers %q", got)
+	}
+}
--- a/internal/spoken/amqp/server.go
+++ b/internal/spoken/amqp/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"strconv"
 	"time"
 
 	"lockroad/balance"
@@ -116,7 +117,11 @@
 // Pass attaches the client's link at a server, and waits for its attach and, if
 // the client is to send, for credit.
 func (l *link) Pass(ctx context.Context, to memory.Server, wait time.Duration) (up core.Link, how balance.Status) {
-	u, err := dial(ctx, to.Address, min(l.front.Core.Connect, wait))
+	address := to.Address
+	if host, _, err := net.SplitHostPort(address); err == nil && l.front.ServerPort != 0 {
+		address = net.JoinHostPort(host, strconv.Itoa(l.front.ServerPort))
+	}
+	u, err := dial(ctx, address, min(l.front.Core.Connect, wait))
 	if err != nil {
 		return nil, ended(ctx, balance.ConnectFailed)
 	}
--- a/internal/spoken/amqp/session.go
+++ b/internal/spoken/amqp/session.go
@@ -157,7 +157,8 @@
 	mu     sync.Mutex
 	far    map[uint32]uint32 // by their number where they come from
 	near   map[uint32]uint32 // and the other way round
-	now    uint32            // the far number of the one that is coming in
+	now    uint32            // the far number of the one that is coming in,
+	there  uint32            // and its near one
 	coming bool
 	waits  []chan struct{} // to be closed once it is whole
 }
@@ -178,10 +179,9 @@
 		if _, known := d.far[d.now]; known || len(d.far) >= unsettled {
 			return p, fault{condLimit, "too many deliveries are unsettled, or one has a number twice"}
 		}
-		n := to.number()
-		d.far[d.now], d.near[n] = n, d.now
+		d.there = to.number()
+		d.far[d.now], d.near[d.there] = d.there, d.now
 	}
-	n := d.far[d.now]
 	d.coming = p.flag(5) && !p.flag(9)
 	if !d.coming {
 		for _, done := range d.waits {
@@ -191,9 +191,9 @@
 	}
 	if !d.coming && (p.flag(4) || p.flag(9)) {
 		delete(d.far, d.now)
-		delete(d.near, n)
+		delete(d.near, d.there)
 	}
-	return p.with(1, n), nil
+	return p.with(1, d.there), nil
 }
 
 // whole returns a channel that is closed once no delivery is in part.
