--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -31,8 +31,8 @@
 	// answer. It returns a Link only with balance.OK. It ends when ctx does, and
 	// has closed its connection when it returns without a Link.
 	Pass(ctx context.Context, to memory.Server, wait time.Duration) (Link, balance.Status)
-	// Join tells the client that it is up and passes on what both sides say,
-	// until the end of either. It returns how that end came about.
+	// Join tells the client that it is up, then pulse.Up, and passes on what both
+	// sides say until the end of either. It returns how that end came about.
 	Join(ctx context.Context, link Link, pulse *Pulse) balance.Status
 	// Unavailable, Failed and Move end the transaction at the client.
 	Unavailable(comeBack time.Duration)
@@ -177,6 +177,7 @@
 type pass struct {
 	cancel  context.CancelCauseFunc
 	granted chan struct{} // closed once the module has it standing
+	up      chan struct{} // closed once the client has been told so
 	ended   chan struct{}
 	cause   error // why it was ended here, once ended is closed
 }
@@ -189,6 +190,16 @@
 	}
 }
 
+// move sends the client away, while lines still pass so that the one under way
+// can end. It guards against a move that overtakes the word that the client is up.
+func (p *pass) move(x Exchange) {
+	select {
+	case <-p.up:
+		x.Move()
+	case <-p.ended:
+	}
+}
+
 // run carries out what the module picks until the transaction is over.
 func (t *transaction) run(ctx context.Context) memory.End {
 	c := t.core
@@ -216,7 +227,7 @@
 			t.x.Failed()
 			return memory.Failed
 		case balance.StepMove:
-			t.x.Move()
+			t.pass.move(t.x)
 			return memory.Moved
 		case balance.StepOver:
 			<-t.pass.ended
@@ -225,7 +236,6 @@
 				t.x.Move()
 				return memory.Silent
 			case errLeave:
-				t.x.Move()
 				return memory.Moved
 			}
 			return memory.Ended
@@ -285,7 +295,7 @@
 		}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	p := &pass{cancel: cancel, granted: make(chan struct{}), ended: make(chan struct{})}
+	p := &pass{cancel: cancel, granted: make(chan struct{}), up: make(chan struct{}), ended: make(chan struct{})}
 	t.pass = p
 	go func() {
 		how := carry(ctx, p)
@@ -323,13 +333,16 @@
 	c.Counters.Up.Add(1)
 	c.Transactions.Set(t.number, memory.Open, to.ID)
 	pulse := c.pulses.add(&Pulse{
-		server: to.ID,
+		server: to.ID, up: p.up,
 		silent: func() { p.cancel(errSilent) },
 		load:   func(load float64) { c.facade.Report(balance.Load{Ticket: t.ticket, Load: load}) },
 		delay:  func(d time.Duration) { c.facade.Report(balance.Delay{Server: to.ID, Delay: d}) },
 	})
 	defer c.pulses.remove(pulse)
-	stop := context.AfterFunc(c.leaving, func() { p.cancel(errLeave) })
+	stop := context.AfterFunc(c.leaving, func() {
+		p.move(t.x)
+		p.cancel(errLeave)
+	})
 	defer stop()
 	how := t.x.Join(ctx, link, pulse)
 	if context.Cause(ctx) == errSilent {
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,288 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lockroad/balance"
+	"lockroad/internal/assert"
+	"lockroad/internal/memory"
+	"lockroad/internal/steps"
+)
+
+const ms = time.Millisecond
+
+func settings() balance.Settings {
+	return balance.Settings{
+		Classes: []balance.Class{{Aim: 200 * ms, Deadline: time.Second, MessageAim: 60 * ms}},
+		Relays:  1, MaxAttempts: 3, Tick: 2 * ms, Connect: 50 * ms, MaxRetryAfter: 2 * time.Second,
+		ColdShare: 0.2, ColdFor: 20 * time.Second, TipMultiple: 3, TipAfter: 3 * time.Second,
+	}
+}
+
+// bench runs a core with a farm of n servers on a fake clock.
+func bench(t *testing.T, n int, do func(k *Core, list func(server int, phase balance.State))) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		k := New(settings(), 1, NewClock())
+		ctx, cancel := context.WithCancel(context.Background())
+		go k.Run(ctx)
+		go k.Watch(ctx)
+		line := func(i int, phase balance.State) balance.Server {
+			return balance.Server{ID: k.Farm.ID(fmt.Sprintf("s-%d", i)), State: phase, Weight: 1}
+		}
+		for i := range n {
+			k.Listed(balance.ListDelta, []balance.Server{line(i, balance.Ready)}, []string{"address"})
+		}
+		do(k, func(server int, phase balance.State) {
+			k.Listed(balance.ListDelta, []balance.Server{line(server, phase)}, []string{"address"})
+		})
+		synctest.Wait()
+		if n := k.Transactions.Len(); n != 0 {
+			t.Errorf("%d transactions are still under way", n)
+		}
+		if n := assert.Broken(); n != 0 {
+			t.Errorf("%d invariants are broken", n)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// act is what a server does with a pass.
+type act struct {
+	how   balance.Status
+	after time.Duration
+	lives time.Duration // of one that is up
+	mute  bool          // it says nothing once it is up
+}
+
+// fake is a front's side of a transaction, and the model that it is checked by.
+type fake struct {
+	t    *testing.T
+	k    *Core
+	acts func() act
+
+	mu      sync.Mutex
+	out     int // passes that are out
+	answers []string
+	at      time.Duration // of the last answer
+}
+
+type fakeLink struct{ act }
+
+func (fakeLink) Close() {}
+
+func (x *fake) Pass(ctx context.Context, to memory.Server, wait time.Duration) (Link, balance.Status) {
+	x.mu.Lock()
+	if x.out++; x.out > 1 {
+		x.t.Error("two passes are out at once")
+	}
+	if len(x.answers) > 0 {
+		x.t.Errorf("a pass goes out after the answer %v", x.answers)
+	}
+	x.mu.Unlock()
+	defer func() {
+		x.mu.Lock()
+		x.out--
+		x.mu.Unlock()
+	}()
+	if wait <= 0 {
+		x.t.Errorf("a pass has %v", wait)
+	}
+	if to.IsLeaving() {
+		return nil, balance.Moot
+	}
+	a := x.acts()
+	select {
+	case <-time.After(a.after):
+		if a.how == balance.OK {
+			return fakeLink{a}, a.how
+		}
+		return nil, a.how
+	case <-ctx.Done():
+		if ctx.Err() == context.DeadlineExceeded {
+			return nil, balance.Timeout
+		}
+		return nil, balance.Cancelled
+	}
+}
+
+func (x *fake) Join(ctx context.Context, link Link, pulse *Pulse) balance.Status {
+	x.answer("up")
+	pulse.Up()
+	a := link.(fakeLink)
+	end := time.After(a.lives)
+	tick := time.NewTicker(2 * time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			pulse.Asked()
+			if !a.mute {
+				pulse.Answered()
+			}
+		case <-end:
+			return balance.OK
+		case <-ctx.Done():
+			return balance.Cancelled
+		}
+	}
+}
+
+func (x *fake) answer(what string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.answers = append(x.answers, what)
+	x.at = x.k.Clock.Now()
+}
+
+func (x *fake) Unavailable(time.Duration) { x.answer("unavailable") }
+func (x *fake) Failed()                   { x.answer("failed") }
+func (x *fake) Move()                     { x.answer("move") }
+
+// ask runs a transaction and returns once it is over.
+func (x *fake) ask(ctx context.Context, wait time.Duration) {
+	x.k.Serve(ctx, Ask{Front: "fake", Ask: balance.Ask{Group: 7, GiveUp: x.k.Clock.Now() + wait}}, x)
+}
+
+func always(a act) func() act { return func() act { return a } }
+
+func TestSilentServerIsLeftWithinSevenSeconds(t *testing.T) {
+	bench(t, 1, func(k *Core, _ func(int, balance.State)) {
+		x := &fake{t: t, k: k, acts: always(act{how: balance.OK, lives: time.Minute, mute: true})}
+		began := k.Clock.Now()
+		x.ask(context.Background(), time.Second)
+		if took := k.Clock.Now() - began; took > 9*time.Second || len(x.answers) != 2 || x.answers[1] != "move" {
+			t.Errorf("after %v the client has been told %v", took, x.answers)
+		}
+	})
+}
+
+func TestPassAboutToGoOutSparesALeavingServer(t *testing.T) {
+	bench(t, 1, func(k *Core, list func(int, balance.State)) {
+		x := &fake{t: t, k: k, acts: func() act {
+			t.Error("a draining server was sent a pass")
+			return act{}
+		}}
+		// The farm knows at once, the module with its next turn.
+		k.Farm.Update(k.Farm.ID("s-0"), "", balance.Draining)
+		x.ask(context.Background(), time.Second)
+		if len(x.answers) != 1 || x.answers[0] != "unavailable" {
+			t.Errorf("the client has been told %v", x.answers)
+		}
+	})
+}
+
+func TestResumedConnectionGoesToItsServerOnly(t *testing.T) {
+	bench(t, 3, func(k *Core, list func(int, balance.State)) {
+		list(2, balance.Draining)
+		x := &fake{t: t, k: k, acts: always(act{how: balance.OK, lives: 3 * time.Second})}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			k.Serve(context.Background(), Ask{Ask: balance.Ask{Open: true, At: k.Farm.ID("s-1")}}, x)
+		}()
+		synctest.Wait()
+		if all := k.Transactions.List(); len(all) != 1 || all[0].Server != k.Farm.ID("s-1") || all[0].Stage != memory.Open {
+			t.Errorf("under way: %+v", all)
+		}
+		<-done
+		k.Serve(context.Background(), Ask{Ask: balance.Ask{Open: true, At: k.Farm.ID("s-9")}}, x)
+		if fmt.Sprint(x.answers) != "[up unavailable]" {
+			t.Errorf("the clients have been told %v", x.answers)
+		}
+	})
+}
+
+// A module may move a client in the turn after it stands: the move must not
+// overtake the word that it is up, which reads as a failure.
+func TestMoveFollowsTheWordThatItIsUp(t *testing.T) {
+	bench(t, 1, func(k *Core, _ func(int, balance.State)) {
+		k.MoveAll()
+		x := &fake{t: t, k: k, acts: always(act{how: balance.OK, lives: time.Minute})}
+		x.ask(context.Background(), time.Second)
+		if fmt.Sprint(x.answers) != "[up move]" {
+			t.Errorf("the client has been told %v", x.answers)
+		}
+	})
+}
+
+// Whatever servers, clients and the list do, each transaction gets one final
+// answer while its client waits, and one pass at a time.
+func FuzzTransactions(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 0, 0, 1, 0, 2})
+	f.Add([]byte{0, 4, 2, 9, 5, 7, 0, 2, 200, 3, 1, 1, 250, 0, 0, 6, 4, 2})
+	f.Add([]byte("the steps of a day with much trouble in it, and a long one at that"))
+	f.Add([]byte{0, 0, 0, 1, 4, 0, 1, 5, 9, 1, 1, 1, 1, 0, 9, 9, 3, 0, 2, 1, 3, 5, 1, 4, 1, 9})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if len(data) > 200 {
+			return
+		}
+		s := steps.New(data)
+		var mu sync.Mutex
+		acts := func() act {
+			mu.Lock()
+			defer mu.Unlock()
+			return act{
+				how:   []balance.Status{balance.OK, balance.Error, balance.Full, balance.ConnectFailed, balance.Reset}[s.Pick(5)],
+				after: time.Duration(s.Pick(8)) * 90 * ms, lives: time.Duration(s.Pick(9)) * time.Second, mute: s.Pick(4) == 1,
+			}
+		}
+		pick := func(n int) int {
+			mu.Lock()
+			defer mu.Unlock()
+			return s.Pick(n)
+		}
+		more := func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return s.More()
+		}
+		bench(t, 3, func(k *Core, list func(int, balance.State)) {
+			var all sync.WaitGroup
+			for more() {
+				switch pick(4) {
+				case 0, 1:
+					x := &fake{t: t, k: k, acts: acts}
+					wait := time.Duration(1+pick(10)) * 100 * ms
+					ctx, leave := context.WithCancel(context.Background())
+					left := pick(4) == 1
+					if left {
+						time.AfterFunc(time.Duration(pick(10))*70*ms, leave)
+					}
+					giveUp := k.Clock.Now() + wait
+					all.Go(func() {
+						defer leave()
+						x.ask(ctx, wait)
+						x.check(giveUp, left)
+					})
+				case 2:
+					list(pick(3), []balance.State{balance.Ready, balance.Draining, balance.Gone}[pick(3)])
+				case 3:
+					time.Sleep(time.Duration(pick(100)) * 10 * ms) // of the fake clock
+				}
+			}
+			all.Wait()
+		})
+	})
+}
+
+// check holds what the client was told against the model: an answer in time, and
+// after an acceptance nothing but a move.
+func (x *fake) check(giveUp time.Duration, left bool) {
+	switch n := len(x.answers); {
+	case n == 0 && left:
+	case n == 0:
+		x.t.Error("no answer")
+	case n == 1 && x.at > giveUp:
+		x.t.Errorf("answered %v after the client gave up", x.at-giveUp)
+	case n == 2 && x.answers[0] == "up" && x.answers[1] == "move":
+	case n > 1:
+		x.t.Errorf("the client has been told %v", x.answers)
+	}
+}
--- a/internal/core/pulse.go
+++ b/internal/core/pulse.go
@@ -20,6 +20,7 @@
 type Pulse struct {
 	clock  Clock
 	server balance.ServerID
+	up     chan struct{}
 	silent func()
 	load   func(float64)
 	delay  func(time.Duration)
@@ -29,6 +30,9 @@
 	echo  time.Duration // the longest answer since the last look
 }
 
+// Up notes that the client has been told that it is up. It is called once.
+func (p *Pulse) Up() { close(p.up) }
+
 // Asked notes that the client has said something.
 func (p *Pulse) Asked() {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/memory/memory_test.go
@@ -0,0 +1,74 @@
+package memory
+
+import (
+	"testing"
+
+	"lockroad/balance"
+)
+
+func TestServersHaveTheSameNumberEverywhere(t *testing.T) {
+	f := NewFarm()
+	if id := f.ID("s-5be2a07c"); id != 0x5be2a07c {
+		t.Errorf("the number is %#x", id)
+	}
+	odd := f.ID("an odd name")
+	if again := NewFarm().ID("an odd name"); again != odd || f.ID("an odd name") != odd {
+		t.Error("an odd name has two numbers")
+	}
+	if f.ID("x-5be2a07c") == f.ID("s-5be2a07c") {
+		t.Error("two names share a number")
+	}
+}
+
+func TestLeavingIsToldOnceAndTakenBackByARestart(t *testing.T) {
+	f := NewFarm()
+	id := f.ID("s-1")
+	if _, ok := f.Find(id); ok {
+		t.Error("a server was found that no list has named")
+	}
+	f.Update(id, "a:1", balance.Ready)
+	before, _ := f.Find(id)
+	f.Update(id, "a:2", balance.Ready)
+	if before.IsLeaving() {
+		t.Error("a server is leaving that has only moved")
+	}
+	f.Update(id, "", balance.Draining)
+	f.Update(id, "", balance.Gone)
+	if !before.IsLeaving() {
+		t.Error("a server that drains is not leaving")
+	}
+	f.Update(id, "", balance.Ready)
+	if after, _ := f.Find(id); after.IsLeaving() || after.Address != "a:2" || !before.IsLeaving() {
+		t.Error("a server that is back is leaving, or who held the old one isn't told")
+	}
+	cold := f.ID("s-2")
+	f.Update(cold, "b:1", balance.Draining)
+	if s, ok := f.Find(cold); !ok || !s.IsLeaving() {
+		t.Error("a server that was first heard of draining is not leaving")
+	}
+}
+
+func TestWholeListEndsWhatItLeavesOut(t *testing.T) {
+	f := NewFarm()
+	for _, name := range []string{"s-1", "s-2", "s-3"} {
+		f.Update(f.ID(name), "a", balance.Ready)
+	}
+	f.Keep([]balance.Server{{ID: f.ID("s-2")}})
+	if n := f.Phases(); n != [3]int64{2, 1, 0} {
+		t.Errorf("gone, ready, draining: %v", n)
+	}
+}
+
+func TestTransactionsAreKeptWhileUnderWay(t *testing.T) {
+	all := NewTransactions()
+	one, two := all.Add(Transaction{Name: "one"}), all.Add(Transaction{Name: "two"})
+	all.Set(two, Out, 5)
+	all.Set(two, Out, 6)
+	all.Set(two, Open, 6)
+	all.Remove(one)
+	all.Set(one, Open, 1)
+	list := all.List()
+	if len(list) != 1 || list[0].Name != "two" || list[0].Passes != 2 || list[0].Server != 6 || all.Stages() != [3]int64{0, 0, 1} {
+		t.Errorf("kept: %+v", list)
+	}
+}
--- a/internal/spoken/amqp/link.go
+++ b/internal/spoken/amqp/link.go
@@ -82,6 +82,7 @@
 	if l.session.write(l.session.channel, u.attach.with(0, l.name).with(1, l.handle), nil) != nil {
 		return balance.Cancelled
 	}
+	pulse.Up()
 	if u.credit != nil {
 		l.down(frame{perf: *u.credit})
 	}
--- a/internal/spoken/discovery/discovery.go
+++ b/internal/spoken/discovery/discovery.go
@@ -213,20 +213,20 @@
 	}
 	n, err := c.r.Read(b[:min(int64(len(b)), c.left)])
 	c.left -= int64(n)
-	c.err = err
-	return n, err
+	c.err = cutShort(err)
+	return n, c.err
 }
 
 // next reads the head of a chunk.
 func (c *chunked) next() (int64, error) {
 	if c.some {
 		if text, err := readLine(c.r); err != nil || text != "" {
-			return 0, errors.Join(err, errHead)
+			return 0, errHead
 		}
 	}
 	text, err := readLine(c.r)
 	if err != nil {
-		return 0, err
+		return 0, cutShort(err)
 	}
 	size, _, _ := strings.Cut(text, ";")
 	n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
@@ -239,3 +239,12 @@
 	c.some = true
 	return int64(n), nil
 }
+
+// cutShort guards against a connection that breaks within a body, which must not
+// pass for the body's end.
+func cutShort(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- a/internal/spoken/line/front.go
+++ b/internal/spoken/line/front.go
@@ -198,6 +198,7 @@
 	if x.client.write(s.up) != nil {
 		return balance.Cancelled
 	}
+	pulse.Up()
 	x.joined <- joint{s, pulse}
 	return x.downstream(ctx, s, pulse)
 }
--- /dev/null
+++ b/internal/spoken/line/front_test.go
@@ -0,0 +1,202 @@
+package line
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"lockroad/balance"
+	"lockroad/internal/core"
+)
+
+// site is a front with one application server, whose end the test holds.
+type site struct {
+	t       *testing.T
+	core    *core.Core
+	address string
+	server  net.Listener
+}
+
+func newSite(t *testing.T, most int) *site {
+	t.Helper()
+	k := core.New(balance.Settings{
+		Classes: []balance.Class{{Aim: time.Second, Deadline: 5 * time.Second, MessageAim: 60 * time.Millisecond}},
+		Relays:  1, MaxAttempts: 3, Connect: time.Second, MaxRetryAfter: 2 * time.Second,
+		ColdShare: 0.2, ColdFor: 20 * time.Second, TipMultiple: 3, TipAfter: 3 * time.Second,
+	}, 1, core.NewClock())
+	s := &site{t: t, core: k}
+	var doors [2]net.Listener
+	for i := range doors {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		doors[i] = l
+	}
+	s.server, s.address = doors[0], doors[1].Addr().String()
+	k.Listed(balance.ListFull, []balance.Server{{ID: k.Farm.ID("s-1"), State: balance.Ready, Weight: 1}},
+		[]string{s.server.Addr().String()})
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	all.Go(func() { k.Run(ctx) })
+	all.Go(func() { (&Front{Core: k, Classes: []string{"page"}, Most: most}).Serve(ctx, doors[1]) })
+	t.Cleanup(func() {
+		doors[0].Close()
+		doors[1].Close()
+		cancel()
+		all.Wait()
+	})
+	return s
+}
+
+// peer is a side of a connection that the test holds.
+type peer struct {
+	*net.TCPConn
+	r *bufio.Reader
+	t *testing.T
+}
+
+func (s *site) peer(c net.Conn, err error) *peer {
+	s.t.Helper()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	return &peer{c.(*net.TCPConn), bufio.NewReader(c), s.t}
+}
+
+func (p *peer) say(text string) { io.WriteString(p, text) }
+
+func (p *peer) want(text string) {
+	p.t.Helper()
+	b := make([]byte, len(text))
+	if n, err := io.ReadFull(p.r, b); err != nil || string(b) != text {
+		p.t.Fatalf("got %q, %v, want %q", b[:n], err, text)
+	}
+}
+
+// wantEnd waits for the connection's end: by the other side's close, or broken.
+func (p *peer) wantEnd(broken bool) {
+	p.t.Helper()
+	rest, err := io.ReadAll(p.r)
+	if len(rest) > 0 || broken != errors.Is(err, syscall.ECONNRESET) {
+		p.t.Fatalf("the end came after %q with %v", rest, err)
+	}
+}
+
+func (s *site) client() *peer { return s.peer(net.Dial("tcp", s.address)) }
+
+const first = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=page,d=%d,g=5c0f6e1a2b3d4c59,x=y\r\n"
+
+// open has a client up at the server.
+func (s *site) open() (client, server *peer) {
+	s.t.Helper()
+	client = s.client()
+	client.say(fmt.Sprintf(first, 4000))
+	server = s.peer(s.server.Accept())
+	text, err := server.r.ReadString('\n')
+	var d int
+	if _, scan := fmt.Sscanf(text, first, &d); err != nil || scan != nil || d > 4000 || text != fmt.Sprintf(first, d) {
+		s.t.Fatalf("the server was told %q, %v", text, errors.Join(err, scan))
+	}
+	server.say("UP receipt of 7\r\n")
+	client.want("UP receipt of 7\r\n")
+	return client, server
+}
+
+func TestLinesPassUnchanged(t *testing.T) {
+	client, server := newSite(t, 8).open()
+	for _, text := range []string{"M 1 2d0b68f9246a7ad6\r\n", "\x00\xff odd\n", strings.Repeat("long ", 4000) + "\r\n"} {
+		go client.say(text)
+		server.want(text)
+		go server.say(text)
+		client.want(text)
+	}
+	// Not even half a line is held back.
+	server.say("half a li")
+	client.want("half a li")
+	server.say("ne\r\nBYE\r\n")
+	client.want("ne\r\nBYE\r\n")
+	server.Close()
+	client.wantEnd(false)
+}
+
+func TestEndsArePassedOnAlike(t *testing.T) {
+	t.Run("the client closes its half", func(t *testing.T) {
+		client, server := newSite(t, 8).open()
+		client.CloseWrite()
+		server.wantEnd(false)
+		server.say("LOAD 4000\r\nBYE\r\n")
+		client.want("LOAD 4000\r\nBYE\r\n")
+		server.Close()
+		client.wantEnd(false)
+	})
+	t.Run("the client breaks", func(t *testing.T) {
+		client, server := newSite(t, 8).open()
+		client.SetLinger(0)
+		client.Close()
+		server.wantEnd(true)
+	})
+	t.Run("the server breaks", func(t *testing.T) {
+		client, server := newSite(t, 8).open()
+		server.SetLinger(0)
+		server.Close()
+		client.wantEnd(true)
+	})
+	t.Run("the server closes", func(t *testing.T) {
+		client, server := newSite(t, 8).open()
+		server.Close()
+		client.wantEnd(false)
+	})
+}
+
+func TestMoveFollowsTheLineThatIsUnderWay(t *testing.T) {
+	s := newSite(t, 8)
+	client, server := s.open()
+	server.say("half a li")
+	client.want("half a li")
+	s.core.MoveAll()
+	server.say("ne\r\n")
+	client.want("ne\r\nMOVE\r\n")
+	client.wantEnd(false)
+	server.wantEnd(false)
+}
+
+func TestOpeningsThatMakeNoSenseGetOneFailure(t *testing.T) {
+	s := newSite(t, 8)
+	for _, text := range []string{
+		"HELLO\r\n", "OPEN 1 2 c=other,d=5\r\n", "OPEN 1 2 c=page,d=x\r\n", strings.Repeat("x", maxLine+10),
+	} {
+		client := s.client()
+		client.say(text)
+		client.want("ERR\r\n")
+		client.wantEnd(false)
+	}
+	if n := s.core.Counters.BadLines.Load(); n != 4 {
+		t.Errorf("%d bad openings were counted, want 4", n)
+	}
+}
+
+func TestPingIsAnswered(t *testing.T) {
+	client := newSite(t, 8).client()
+	client.say("PING\r\nPING\r\n")
+	client.want("PONG\r\nPONG\r\n")
+}
+
+// Past its descriptors a relay has to turn clients away, not to fail.
+func TestClientsBeyondTheMostAreTurnedAway(t *testing.T) {
+	s := newSite(t, 1)
+	s.open()
+	client := s.client()
+	client.want("BUSY\r\n")
+	client.wantEnd(false)
+}
--- /dev/null
+++ b/internal/steps/steps.go
@@ -0,0 +1,31 @@
+// Package steps turns the bytes of a fuzzer into random steps, for tests that
+// check what they do against a model. Equal bytes give equal steps.
+package steps
+
+// Source yields choices until its bytes are used up; from then on it yields 0.
+type Source struct{ data []byte }
+
+// New returns a Source of the bytes of a fuzzer.
+func New(data []byte) *Source { return &Source{data} }
+
+// More tells whether there are bytes left.
+func (s *Source) More() bool { return len(s.data) > 0 }
+
+// Pick chooses one of n.
+func (s *Source) Pick(n int) int {
+	if len(s.data) == 0 {
+		return 0
+	}
+	b := s.data[0]
+	s.data = s.data[1:]
+	return int(b) % n
+}
+
+// Cut takes a random part, at least one byte, off the front of some bytes.
+func (s *Source) Cut(b []byte) (part, rest []byte) {
+	if len(b) == 0 {
+		return nil, nil
+	}
+	n := 1 + s.Pick(len(b))
+	return b[:n], b[n:]
+}
