--- a/internal/spoken/amqp/frame.go
+++ b/internal/spoken/amqp/frame.go
@@ -165,6 +165,7 @@
 	is, ok := v.(described)
 	if ok {
 		f.code, ok = whole(is.descriptor)
+		ok = ok && f.code != 0 // which would pass for a frame without a body
 	}
 	if ok {
 		f.fields, ok = is.value.(list)
