Write the hand-over pages; try a resumed connection again; end silent ones sooner

Read against the protocol: 6 s after the client's word can be 8 s after the last echo where 7 are allowed (core/pulse.go), now 4.5 s; and a connection open before the run was refused for good at the first failure (core/core.go, resume), now it is tried again for 20 s.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Targets for those who keep the program.
+
+FUZZTIME ?= 10s
+CONFIG ?= $(PROXY_CONFIG)
+
+.PHONY: all build test race lint fuzz run clean
+
+all: lint build test
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+test:
+	go test ./...
+	go test -tags debug ./...
+
+race:
+	go test -race ./...
+
+lint:
+	@unformatted=$$(gofmt -l .); test -z "$$unformatted" || { echo "gofmt wants changes in: $$unformatted"; exit 1; }
+	go vet ./...
+	go vet -tags debug ./...
+
+fuzz:
+	go test -run '^$$' -fuzz '^FuzzTransactions$$' -fuzztime $(FUZZTIME) ./internal/core
+	go test -run '^$$' -fuzz '^FuzzMoveComesBetweenLines$$' -fuzztime $(FUZZTIME) ./internal/spoken/line
+	go test -run '^$$' -fuzz '^FuzzOpening$$' -fuzztime $(FUZZTIME) ./internal/spoken/line
+	go test -run '^$$' -fuzz '^FuzzSplitter$$' -fuzztime $(FUZZTIME) ./internal/spoken/line
+	go test -run '^$$' -fuzz '^FuzzChunks$$' -fuzztime $(FUZZTIME) ./internal/spoken/discovery
+	go test -run '^$$' -fuzz '^FuzzFrame$$' -fuzztime $(FUZZTIME) ./internal/spoken/amqp
+
+# make run CONFIG=config.json starts one relay.
+run: build
+	PROXY_CONFIG=$(CONFIG) bin/lockroad
+
+clean:
+	rm -rf bin found
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -171,6 +171,7 @@
 	at      balance.ServerID
 	pass    *pass
 	trace   Trace
+	ctx     context.Context // ends when the client leaves
 }
 
 // pass is a proxy pass that is out, or the connection that it became.
@@ -203,6 +204,7 @@
 // run carries out what the module picks until the transaction is over.
 func (t *transaction) run(ctx context.Context) memory.End {
 	c := t.core
+	t.ctx = ctx
 	if t.resumed && !t.resume(ctx) {
 		t.x.Unavailable(0)
 		return memory.Unavailable
@@ -243,26 +245,34 @@
 	}
 }
 
-// resumeWait bounds how long a connection from before the start may take to be
-// up again.
-const resumeWait = 10 * time.Second
+const (
+	resumeWait  = 20 * time.Second       // a connection from before the start may take this long to be up again
+	resumePause = 100 * time.Millisecond // between two passes for it
+)
 
 // resume takes up a connection that was open before the relay's start: at that
-// server and no other, and for the module it has stood all along.
+// server and no other, and for the module it has stood all along. It is lost if
+// it isn't up again, so a server that is not known yet, or has no room for a
+// moment, is tried again.
 func (t *transaction) resume(ctx context.Context) bool {
-	c := t.core
-	to, ok := c.Farm.Find(t.at)
-	if !ok {
-		return false
-	}
-	link, how := t.attempt(ctx, to, resumeWait)
-	if how != balance.OK {
-		return false
+	ctx, cancel := context.WithTimeout(ctx, resumeWait)
+	defer cancel()
+	for {
+		if to, ok := t.core.Farm.Find(t.at); ok {
+			t.core.Transactions.Set(t.number, memory.Out, to.ID)
+			if link, how := t.attempt(ctx, to, resumeWait); how == balance.OK {
+				t.launch(t.ctx, func(ctx context.Context, p *pass) balance.Status {
+					return t.join(ctx, p, to, link)
+				})
+				return true
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(resumePause):
+		}
 	}
-	t.launch(ctx, func(ctx context.Context, p *pass) balance.Status {
-		return t.join(ctx, p, to, link)
-	})
-	return true
 }
 
 // start begins a pass that the module has picked.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -157,7 +157,7 @@
 		x := &fake{t: t, k: k, acts: always(act{how: balance.OK, lives: time.Minute, mute: true})}
 		began := k.Clock.Now()
 		x.ask(context.Background(), time.Second)
-		if took := k.Clock.Now() - began; took > 9*time.Second || len(x.answers) != 2 || x.answers[1] != "move" {
+		if took := k.Clock.Now() - began; took > 7*time.Second || len(x.answers) != 2 || x.answers[1] != "move" {
 			t.Errorf("after %v the client has been told %v", took, x.answers)
 		}
 	})
@@ -192,9 +192,17 @@
 			t.Errorf("under way: %+v", all)
 		}
 		<-done
-		k.Serve(context.Background(), Ask{Ask: balance.Ask{Open: true, At: k.Farm.ID("s-9")}}, x)
-		if fmt.Sprint(x.answers) != "[up unavailable]" {
-			t.Errorf("the clients have been told %v", x.answers)
+		time.AfterFunc(time.Second, func() { list(4, balance.Ready) }) // the list comes late
+		late := &fake{t: t, k: k}
+		late.acts = func() act {
+			late.acts = always(act{how: balance.OK})
+			return act{how: balance.ConnectFailed}
+		}
+		k.Serve(context.Background(), Ask{Ask: balance.Ask{Open: true, At: k.Farm.ID("s-4")}}, late)
+		none := &fake{t: t, k: k}
+		k.Serve(context.Background(), Ask{Ask: balance.Ask{Open: true, At: k.Farm.ID("s-9")}}, none)
+		if got := fmt.Sprint(x.answers, late.answers, none.answers); got != "[up] [up] [unavailable]" {
+			t.Errorf("the clients have been told %v", got)
 		}
 	})
 }
--- a/internal/core/pulse.go
+++ b/internal/core/pulse.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	pulseEvery  = 100 * time.Millisecond // how often the pulses are looked at
-	delayEvery  = time.Second            // how often a server's delay is told
-	silentAfter = 6 * time.Second        // a connection without an echo for this long is dead
+	pulseEvery = 100 * time.Millisecond // how often the pulses are looked at
+	delayEvery = time.Second            // how often a server's delay is told
+
+	// A connection without an echo for this long is dead. The rule allows 7 s since
+	// something came back; up to 2 s of them pass before the client speaks again.
+	silentAfter = 4500 * time.Millisecond
 )
 
 // Pulse is the beat of one connection: what its client says should bring
--- a/internal/lifecycle/run_test.go
+++ b/internal/lifecycle/run_test.go
@@ -12,6 +12,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"lockroad/internal/console"
 )
 
 const settingsText = `{
@@ -76,16 +78,27 @@
 	return l
 }
 
-// open opens a connection through the relay and returns its reader after UP.
-func open(t *testing.T, address string) *bufio.Reader {
+// lineFront asks a relay's console where its line front listens.
+func lineFront(t *testing.T, socket string) string {
 	t.Helper()
-	var c net.Conn
-	var err error
-	for late := time.Now().Add(5 * time.Second); ; { // until the relay listens
-		if c, err = net.Dial("tcp", address); err == nil || time.Now().After(late) {
-			break
+	for late := time.Now().Add(10 * time.Second); time.Now().Before(late); { // until it has started
+		var out strings.Builder
+		if console.Main([]string{"-socket", socket, "fronts"}, nil, &out, io.Discard) == console.ExitOK {
+			for text := range strings.Lines(out.String()) {
+				if words := strings.Fields(text); words[0] == "line" {
+					return words[1]
+				}
+			}
 		}
 	}
+	t.Fatal("the relay's console doesn't answer")
+	return ""
+}
+
+// open opens a connection through the relay and returns its reader after UP.
+func open(t *testing.T, address string) *bufio.Reader {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -102,7 +115,7 @@
 // At a planned restart clients still come for a moment: they are served as the
 // others, everyone is told to move, and the relay ends well before SIGKILL.
 func TestRelayLeavesInGoodOrder(t *testing.T) {
-	server, discovery, door := listen(t), listen(t), listen(t)
+	server, discovery := listen(t), listen(t)
 	go func() {
 		for {
 			c, err := server.Accept()
@@ -113,15 +126,15 @@
 			t.Cleanup(func() { c.Close() })
 		}
 	}()
-	address := door.Addr().String()
-	door.Close() // the relay's from here on
-	c, err := ParseConfig([]byte(configText(address, discovery.Addr().String(), server.Addr().String())))
+	c, err := ParseConfig([]byte(configText("127.0.0.1:0", discovery.Addr().String(), server.Addr().String())))
 	if err != nil {
 		t.Fatal(err)
 	}
 	drain, done := make(chan struct{}), make(chan error, 1)
-	o := &Operator{Console: Console{Socket: filepath.Join(t.TempDir(), "console")}, AMQP: AMQP{Listen: "127.0.0.1:0"}}
+	socket := filepath.Join(t.TempDir(), "console")
+	o := &Operator{Console: Console{Socket: socket}, AMQP: AMQP{Listen: "127.0.0.1:0"}}
 	go func() { done <- Run(context.Background(), drain, c, o, slog.New(slog.DiscardHandler)) }()
+	address := lineFront(t, socket)
 	clients := []*bufio.Reader{open(t, address)}
 	close(drain)
 	clients = append(clients, open(t, address)) // the front has not noticed yet
