Take a light load for a delay only if another follows on the beat

The trace: relay 0 is told 'LOAD 466' off every beat, an idle connection's load; booked as 466 ms it marked a sound server slow, moved two clients and had three wait up to 2.9 s, two of them to a refusal. Ruled out: the pulses (one note, of the server that hung). Lines at fault: notes.go, the bound of 600 for a sure delay. Done: a figure of 100 or more counts once another like it follows a second later.

--- a/internal/spoken/line/notes.go
+++ b/internal/spoken/line/notes.go
@@ -1,6 +1,8 @@
 package line
 
 import (
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,10 +19,12 @@
 	beat      = time.Second
 	beatSlack = 12 * time.Millisecond
 	beatLife  = 30 * time.Second // a beat not heard for this long has to be found again
+	beatRest  = 5 * time.Second  // after which it may have shifted
 	freshFor  = 60 * time.Millisecond
-	sureDelay = 600    // no connection is as light as this many microseconds a second
-	mostDelay = 20_000 // milliseconds
-	twoBeats  = 2      // notes on the dot that make a beat sure
+	sureDelay = 100    // even an idle connection's load is more, in microseconds a second
+	mostDelay = 30_000 // milliseconds
+	growMost  = 1100   // milliseconds that a delay can grow by from one beat to the next
+	guessMost = 8      // figures of a server that may turn out to be delays
 )
 
 // notes tells loads from delays.
@@ -31,8 +35,17 @@
 
 // beats is what is known of the times at which a server tells its delay.
 type beats struct {
-	at    time.Duration // a delay came last, or what may have been one
-	count int           // how many have come on the dot; 0 if at is a guess
+	at      time.Duration // a delay came last; 0 if none has
+	count   int           // how many have come on the dot
+	guesses []guess       // of the last second
+}
+
+// guess is a figure that is a delay if another like it follows on the dot. An idle
+// connection's load can be as small as the delay of a slow server, and taken for
+// one has all connections of a sound server moved.
+type guess struct {
+	at     time.Duration
+	figure float64
 }
 
 // delay tells whether the figure of a LOAD line is a delay. since is how long the
@@ -48,23 +61,32 @@
 		n.from = make(map[balance.ServerID]*beats)
 	}
 	b := n.from[server]
-	if b == nil || now-b.at > beatLife {
-		b = &beats{at: now - beatLife}
+	if b == nil || b.count > 0 && now-b.at > beatLife {
+		b = &beats{}
 		n.from[server] = b
 	}
 	gap := now - b.at
-	off := min(gap%beat, beat-gap%beat)
 	switch {
-	case gap >= beat-beatSlack && off <= beatSlack && (b.count > 0 || gap < beat+beat/2):
-		b.at, b.count = now, b.count+1
-		return true
-	case b.count >= twoBeats:
+	case b.count > 0 && gap >= beat-beatSlack && min(gap%beat, beat-gap%beat) <= beatSlack:
+	case b.count > 1 && gap < beatRest:
 		return false
 	case figure < sureDelay:
-		b.at, b.count = now, 1
-		return true
-	case b.count == 0:
-		b.at = now
+		b.count = 0
+	case b.follows(figure, now):
+	default:
+		if len(b.guesses) == guessMost {
+			b.guesses = slices.Delete(b.guesses, 0, 1)
+		}
+		b.guesses = append(b.guesses, guess{now, figure})
+		return false
 	}
-	return false
+	b.at, b.count, b.guesses = now, b.count+1, nil
+	return true
+}
+
+// follows tells whether a figure follows one a second ago, as delays do.
+func (b *beats) follows(figure float64, now time.Duration) bool {
+	return slices.ContainsFunc(b.guesses, func(g guess) bool {
+		return (now-g.at-beat).Abs() <= beatSlack && math.Abs(figure-g.figure) <= growMost
+	})
 }
--- a/internal/spoken/line/notes_test.go
+++ b/internal/spoken/line/notes_test.go
@@ -26,6 +26,13 @@
 			{970, 900, 6214.577, false}, // nothing tells it from a load yet
 			{1970, 900, 6214.577, true}, {2969, 900, 6214.577, true},
 		},
+		"an idle connection": { // seen on a day that lost 5% by it: 466 is a load
+			{0, 900, 466.2, false}, {1100, 900, 70125, false}, {2500, 900, 810.4, false},
+		},
+		"a server that slows all at once": {
+			{0, 900, 48313.2, false}, {300, 900, 410.5, false}, {1302, 900, 702.2, true}, {2301, 900, 980, true},
+			{2700, 900, 620, false}, {3300, 900, 31020.1, false},
+		},
 		"loads only": {
 			{100, 20, 348232.7, false}, {950, 900, 8182.6, false}, {2400, 2300, 1702.5, false},
 			{3900, 3800, 25974.3, false}, {4200, 4100, 0, false},
