Move the clients of a draining server away bit by bit

A client has to be told to move before its server leaves; so far the module left that to the server, and whoever it had not sent away by its stop was cut off.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -48,6 +48,9 @@
 	drainIn  = 3 * time.Second        // work piled up on a slow server should be gone by then
 	keepMin  = 0.2                    // part of its connections that a slow server keeps at one time
 
+	leaveEvery = 250 * time.Millisecond // a server that drains loses a part of its connections
+	leavePart  = 0.15                   // this often: this part of those it has
+
 	windowMax   = 64.0                   // set-ups under way
 	windowCut   = 0.7                    // kept when set-ups fail on many servers at once
 	windowPause = 200 * time.Millisecond // least time between two such cuts
@@ -66,6 +69,7 @@
 	out      []Action
 	requests map[RequestID]*request
 	timers   map[uint32]*request // a nil request: the list's timer
+	leaving  map[uint32]*server  // timers of servers that drain
 	token    uint32
 	routes   routes
 	fleet    fleet
@@ -84,6 +88,7 @@
 		rng:      rand.New(rand.NewPCG(seed, 0)),
 		requests: make(map[RequestID]*request),
 		timers:   make(map[uint32]*request),
+		leaving:  make(map[uint32]*server),
 		routes:   routes{size: cacheSize, at: make(map[uint64]int)},
 		fleet:    fleet{recent: fading{over: rateMemory}},
 		window:   window{size: windowMax, sharedUntil: math.MinInt64},
@@ -136,8 +141,12 @@
 
 func (b *Balancer) timerFired(token uint32) {
 	q, ok := b.timers[token]
+	s := b.leaving[token]
 	delete(b.timers, token)
+	delete(b.leaving, token)
 	switch {
+	case s != nil:
+		b.sendAway(s)
 	case !ok:
 	case q == nil && (b.list.out || b.list.fails > 0):
 		b.watch()
@@ -498,6 +507,20 @@
 	}
 }
 
+// sendAway guards against clients that are cut off when their draining server
+// stops. They move a part at a time, lest those who take them in are swamped.
+func (b *Balancer) sendAway(s *server) {
+	if s.State != Draining || len(s.conns) == 0 {
+		s.sending = false
+		return
+	}
+	s.sending = true
+	b.relieve(s, int(math.Ceil(float64(len(s.conns))*leavePart)))
+	b.token++
+	b.leaving[b.token] = s
+	b.do(SetTimer{Token: b.token, After: leaveEvery})
+}
+
 // One cause on many servers.
 
 // shared tells whether set-ups lately failed on many servers at once.
@@ -631,5 +654,8 @@
 			s.weight, s.weighed, s.lastSlow = weightStart, b.now, 0
 		}
 		s.Server = line
+		if !s.sending {
+			b.sendAway(s)
+		}
 	}
 }
--- a/balance/departures_test.go
+++ b/balance/departures_test.go
@@ -456,6 +456,26 @@
 	wantActions(t, append(done, r.pass(2*time.Second)...), Refuse{Request: id, RetryAfter: 1500 * ms})
 }
 
+// A client has to be told to move before its server leaves; but not all at once.
+func TestClientsOfADrainingServerAreMovedBitByBit(t *testing.T) {
+	r := newRelay(t, testSettings(), ready(2)...)
+	for i := range 20 {
+		r.next++
+		r.do(Resumed{Request: Request{ID: r.next, Group: uint64(i + 1)}, Server: 1})
+	}
+	line := Server{ID: 1, State: Draining, Weight: 1}
+	first := count[Move](r.do(ServerList{Kind: ListDelta, Servers: []Server{line}}))
+	if first == 0 || first > 5 {
+		t.Errorf("%d of 20 clients were moved at once", first)
+	}
+	if again := count[Move](r.do(ServerList{Kind: ListDelta, Servers: []Server{line}})); again != 0 {
+		t.Errorf("%d more were moved as the list came again", again)
+	}
+	if count[Move](r.pass(4*time.Second)) != 20-first || len(r.b.leaving) != 0 {
+		t.Errorf("%d clients are left on a server that drains", 20-count[Move](r.log))
+	}
+}
+
 // Who can't be served by anyone is told so at once, and when to come again.
 func TestRequestWithoutHopeIsAnsweredAtOnce(t *testing.T) {
 	s := testSettings()
--- a/balance/state.go
+++ b/balance/state.go
@@ -67,6 +67,7 @@
 	delay    time.Duration // of a message, as of delayAt
 	delayAt  time.Duration
 	relieved time.Duration
+	sending  bool // it drains, and its connections are being sent away
 }
 
 func (s *server) size() float64 { return max(s.Weight, 1e-3) }
