Hand the server over before UP is told; share what the fronts had twice

Seen: one run of the line front's test lost a client that ended its half as soon as it read UP: upstream found no server yet and took it for one that had left (line/front.go, Join). After: 40 runs with -race without a failure.

--- a/internal/spoken/accept.go
+++ b/internal/spoken/accept.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"lockroad/balance"
 )
 
 // Accept hands the connections that come in to client, each on a goroutine of
@@ -41,3 +43,15 @@
 		}
 	}
 }
+
+// Ended is the outcome of a pass that broke, or that was ended from here: ctx is
+// the pass's own, with its time-out.
+func Ended(ctx context.Context, broke balance.Status) balance.Status {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return balance.Timeout
+	case ctx.Err() != nil:
+		return balance.Cancelled
+	}
+	return broke
+}
--- a/internal/spoken/amqp/both_test.go
+++ b/internal/spoken/amqp/both_test.go
@@ -169,39 +169,58 @@
 	}
 }
 
-// amqpServer greets as the standard has it and does as the script says.
-func amqpServer(t *testing.T, tcp *net.TCPConn, s *script) {
+const serverWait = 5 * time.Second
+
+// greetClient is a stand-in's half of the greeting, as the standard has it, up to
+// the opens.
+func greetClient(t *testing.T, tcp *net.TCPConn) (*conn, bool) {
 	c := newConn(tcp)
-	const wait = 5 * time.Second
-	h, err := c.readHeader(wait)
+	h, err := c.readHeader(serverWait)
 	if err != nil {
-		return
+		return nil, false
 	}
 	if h != headerSASL {
 		t.Errorf("a server was greeted with %q", h)
 	}
 	c.header(headerSASL)
 	c.sasl(perf{codeMechanisms, list{array{symbol("ANONYMOUS")}}})
-	if f, err := c.read(frameSASL, wait); err != nil || f.code != codeInit {
+	if f, err := c.read(frameSASL, serverWait); err != nil || f.code != codeInit {
 		t.Errorf("a server got %v, %v for an init", f, err)
-		return
+		return nil, false
 	}
 	c.sasl(perf{codeOutcome, list{uint8(0)}})
-	c.readHeader(wait)
+	c.readHeader(serverWait)
 	c.header(headerAMQP)
+	return c, true
+}
+
+// opened answers the frames that open a stand-in's connection and its session.
+func opened(c *conn, s *session, f frame) {
+	switch f.code {
+	case codeOpen:
+		c.opened(f.perf)
+		c.write(0, open("server"), nil)
+	case codeBegin:
+		s.begun(f.perf)
+		c.write(0, s.begin(uint16(0)), nil)
+	}
+}
+
+// amqpServer does as the script says.
+func amqpServer(t *testing.T, tcp *net.TCPConn, s *script) {
+	c, ok := greetClient(t, tcp)
+	if !ok {
+		return
+	}
 	session := newSession(c, 0)
 	for {
-		f, err := c.read(frameAMQP, wait)
+		f, err := c.read(frameAMQP, serverWait)
 		if err != nil {
 			return
 		}
 		switch f.code {
-		case codeOpen:
-			c.opened(f.perf)
-			c.write(0, open("server"), nil)
-		case codeBegin:
-			session.begun(f.perf)
-			c.write(0, session.begin(uint16(0)), nil)
+		case codeOpen, codeBegin:
+			opened(c, session, f)
 		case codeAttach:
 			if !amqpAttached(c, session, f.perf, s) {
 				return
--- a/internal/spoken/amqp/link.go
+++ b/internal/spoken/amqp/link.go
@@ -11,6 +11,7 @@
 
 	"lockroad/balance"
 	"lockroad/internal/core"
+	"lockroad/internal/spoken"
 )
 
 // moveFor bounds the wait for the rest of a delivery before its link is moved.
@@ -101,7 +102,7 @@
 		l.mu.Unlock()
 		switch {
 		case ctx.Err() != nil: // moved or silent: the client is still to be told
-			return ended(ctx, balance.Cancelled)
+			return spoken.Ended(ctx, balance.Cancelled)
 		case err != nil && gone:
 			return balance.Cancelled
 		case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/spoken/amqp/passing_test.go
+++ b/internal/spoken/amqp/passing_test.go
@@ -102,29 +102,20 @@
 
 // pageServer sends pages as far as the client's credit goes.
 func pageServer(t *testing.T, tcp *net.TCPConn, pages int, settled chan<- uint32) {
-	c := newConn(tcp)
-	const wait = 5 * time.Second
-	c.readHeader(wait)
-	c.header(headerSASL)
-	c.sasl(perf{codeMechanisms, list{array{symbol("ANONYMOUS")}}})
-	c.read(frameSASL, wait)
-	c.sasl(perf{codeOutcome, list{uint8(0)}})
-	c.readHeader(wait)
-	c.header(headerAMQP)
+	c, ok := greetClient(t, tcp)
+	if !ok {
+		return
+	}
 	session := newSession(c, 0)
 	sent := 0
 	for {
-		f, err := c.read(frameAMQP, wait)
+		f, err := c.read(frameAMQP, serverWait)
 		if err != nil {
 			return
 		}
 		switch f.code {
-		case codeOpen:
-			c.opened(f.perf)
-			c.write(0, open("server"), nil)
-		case codeBegin:
-			session.begun(f.perf)
-			c.write(0, session.begin(uint16(0)), nil)
+		case codeOpen, codeBegin:
+			opened(c, session, f)
 		case codeAttach:
 			c.write(0, f.perf.with(1, uint32(0)).with(2, false).with(9, uint32(0)).with(13, nil), nil)
 		case codeDisposition:
--- a/internal/spoken/amqp/server.go
+++ b/internal/spoken/amqp/server.go
@@ -11,6 +11,7 @@
 	"lockroad/balance"
 	"lockroad/internal/core"
 	"lockroad/internal/memory"
+	"lockroad/internal/spoken"
 )
 
 const (
@@ -123,12 +124,12 @@
 	}
 	u, err := dial(ctx, address, min(l.front.Core.Connect, wait))
 	if err != nil {
-		return nil, ended(ctx, balance.ConnectFailed)
+		return nil, spoken.Ended(ctx, balance.ConnectFailed)
 	}
 	stop := context.AfterFunc(ctx, u.Close)
 	how = l.ask(ctx, u, to, wait)
 	if !stop() && how == balance.OK {
-		how = ended(ctx, balance.Reset)
+		how = spoken.Ended(ctx, balance.Reset)
 	}
 	if how != balance.OK {
 		close(u.stop)
@@ -146,7 +147,7 @@
 	props, _ := l.attach.field(13).(mapping)
 	p := l.attach.with(1, uint32(0)).with(13, props.with(propGiveUp, uint32(max(1, wait.Milliseconds()))))
 	if err := u.write(0, p, nil); err != nil {
-		return ended(ctx, balance.ConnectFailed)
+		return spoken.Ended(ctx, balance.ConnectFailed)
 	}
 	for {
 		f, err := u.read(frameAMQP, wait)
@@ -154,7 +155,7 @@
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				return balance.Timeout
 			}
-			return ended(ctx, balance.Reset)
+			return spoken.Ended(ctx, balance.Reset)
 		}
 		switch {
 		case f.empty:
@@ -186,14 +187,3 @@
 	}
 	return balance.Error
 }
-
-// ended is the outcome of a pass that broke, or that was ended from here.
-func ended(ctx context.Context, broke balance.Status) balance.Status {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return balance.Timeout
-	case ctx.Err() != nil:
-		return balance.Cancelled
-	}
-	return broke
-}
--- a/internal/spoken/line/front.go
+++ b/internal/spoken/line/front.go
@@ -142,13 +142,13 @@
 	d := net.Dialer{Timeout: x.front.Core.Connect, KeepAlive: -1}
 	conn, err := d.DialContext(ctx, "tcp", to.Address)
 	if err != nil {
-		return nil, ended(ctx, balance.ConnectFailed)
+		return nil, spoken.Ended(ctx, balance.ConnectFailed)
 	}
 	s := &server{TCPConn: conn.(*net.TCPConn), r: bufio.NewReaderSize(conn, maxLine), id: to.ID}
 	stop := context.AfterFunc(ctx, s.Close)
 	how := x.ask(ctx, s, to, wait)
 	if !stop() && how == balance.OK {
-		how = ended(ctx, balance.Reset)
+		how = spoken.Ended(ctx, balance.Reset)
 	}
 	if how != balance.OK {
 		s.Close()
@@ -163,11 +163,11 @@
 		return balance.Moot // it drains since the pass was picked
 	}
 	if _, err := s.Write(x.opening.with(wait)); err != nil {
-		return ended(ctx, balance.ConnectFailed)
+		return spoken.Ended(ctx, balance.ConnectFailed)
 	}
 	text, err := s.r.ReadSlice('\n')
 	if err != nil {
-		return ended(ctx, balance.Reset)
+		return spoken.Ended(ctx, balance.Reset)
 	}
 	switch w, _ := parseWord(text); w {
 	case wordUp:
@@ -179,27 +179,18 @@
 	return balance.Error
 }
 
-// ended is the outcome of a pass that broke, or that was ended from here.
-func ended(ctx context.Context, broke balance.Status) balance.Status {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return balance.Timeout
-	case ctx.Err() != nil:
-		return balance.Cancelled
-	}
-	return broke
-}
-
 // Join passes lines on, both ways, until the connection has ended.
 func (x *exchange) Join(ctx context.Context, link core.Link, pulse *core.Pulse) balance.Status {
 	s := link.(*server)
 	stop := context.AfterFunc(ctx, s.Close)
 	defer stop()
+	// A client that ends its half as soon as it reads UP has not left before it:
+	// the server is handed over first.
+	x.joined <- joint{s, pulse}
 	if x.client.write(s.up) != nil {
 		return balance.Cancelled
 	}
 	pulse.Up()
-	x.joined <- joint{s, pulse}
 	return x.downstream(ctx, s, pulse)
 }
 
@@ -240,7 +231,7 @@
 		switch {
 		case err == nil:
 		case ctx.Err() != nil: // moved or silent: the client is still to be told
-			return ended(ctx, how)
+			return spoken.Ended(ctx, how)
 		case x.ended.Load() && how == balance.Reset:
 			return balance.Cancelled // the client has left
 		case errors.Is(err, io.EOF):
