--- a/internal/spoken/amqp/frame.go
+++ b/internal/spoken/amqp/frame.go
@@ -228,8 +228,7 @@
 
 var errQuit = errors.New("the connection is closing")
 
-// write sends a frame in one piece. The payload of a transfer goes in as many
-// frames as the peer's largest wants; before is called ahead of each.
+// write sends a frame in one piece; nothing goes out after a close.
 func (c *conn) write(channel uint16, p perf, payload []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/spoken/amqp/session.go
+++ b/internal/spoken/amqp/session.go
@@ -74,7 +74,7 @@
 
 var errWindow = errors.New("the peer's window stays shut")
 
-// room waits until the peer takes another transfer.
+// await waits until the peer takes another transfer.
 func (s *session) await() error {
 	late := time.NewTimer(writeMost)
 	defer late.Stop()
