Refuse the name of another's open transaction at the door

Checked: a probe that logged each opening and pass. All 197 passes that ended in an error carried the id of a request that was open at this same relay. Ruled out: classes, deadlines and lengths, which the parser refused. At fault: core.Serve and memory.Transactions took a name twice; exchange.upstream let a client go on before UP; nothing bounded d (a client with d=4294967 held its place for 71 minutes).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,7 +14,7 @@
 type Ask struct {
 	balance.Ask
 	Front string
-	Name  string // as the client calls it
+	Name  string // as the client calls it; no two under way share one
 	Class string
 }
 
@@ -34,7 +34,9 @@
 	// Join tells the client that it is up, then pulse.Up, and passes on what both
 	// sides say until the end of either. It returns how that end came about.
 	Join(ctx context.Context, link Link, pulse *Pulse) balance.Status
-	// Unavailable, Failed and Move end the transaction at the client.
+	// Bad, Unavailable, Failed and Move end the transaction at the client. Bad
+	// says that what it asks for makes no sense.
+	Bad(why string)
 	Unavailable(comeBack time.Duration)
 	Failed()
 	Move()
@@ -70,6 +72,7 @@
 	Counters     *memory.Counters
 	Connect      time.Duration // bound of a connection's set-up
 
+	classes  []balance.Class
 	facade   *balance.Facade
 	pulses   *pulses
 	observer Observer
@@ -87,6 +90,7 @@
 		Transactions: memory.NewTransactions(),
 		Counters:     &memory.Counters{},
 		Connect:      s.Connect,
+		classes:      s.Classes,
 		facade:       balance.NewFacade(s, seed),
 		observer:     untraced{},
 		pulses:       newPulses(s, clock),
@@ -146,12 +150,24 @@
 // Serve sees a transaction through. It ends early when ctx does, which says that
 // the client has left.
 func (c *Core) Serve(ctx context.Context, ask Ask, x Exchange) {
+	now := c.Clock.Now()
+	number, ok := c.Transactions.Add(memory.Transaction{
+		Front: ask.Front, Name: ask.Name, Class: ask.Class, Since: now,
+	})
+	if !ok {
+		// A client that uses the name of another's open transaction. Passed on, it
+		// is turned down by one server after another, each of them blamed for it, and
+		// the route of the other's group is forgotten.
+		c.Counters.BadLines.Add(1)
+		x.Bad("a transaction of this name is open")
+		return
+	}
 	c.Counters.Transactions.Add(1)
+	// No client of a class waits longer than that class; one that says so would
+	// hold its place for as long as it likes.
+	ask.GiveUp = min(ask.GiveUp, now+c.patience(ask.Ask.Class))
 	t := &transaction{
-		core: c, x: x, ticket: balance.NewTicket(ask.Ask), resumed: ask.Open, at: ask.At,
-		number: c.Transactions.Add(memory.Transaction{
-			Front: ask.Front, Name: ask.Name, Class: ask.Class, Since: c.Clock.Now(),
-		}),
+		core: c, x: x, ticket: balance.NewTicket(ask.Ask), resumed: ask.Open, at: ask.At, number: number,
 	}
 	defer c.Transactions.Remove(t.number)
 	t.trace = c.observer.Began(ask)
@@ -161,6 +177,14 @@
 	t.trace.Ended(end.String())
 }
 
+// patience is how long a client of a class waits at the most.
+func (c *Core) patience(class int) time.Duration {
+	if class < 0 || class >= len(c.classes) {
+		return 0
+	}
+	return c.classes[class].Deadline
+}
+
 // transaction is one that is under way.
 type transaction struct {
 	core    *Core
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -141,6 +141,7 @@
 	x.at = x.k.Clock.Now()
 }
 
+func (x *fake) Bad(string)                { x.answer("bad") }
 func (x *fake) Unavailable(time.Duration) { x.answer("unavailable") }
 func (x *fake) Failed()                   { x.answer("failed") }
 func (x *fake) Move()                     { x.answer("move") }
--- a/internal/memory/transactions.go
+++ b/internal/memory/transactions.go
@@ -34,24 +34,36 @@
 
 // Transactions holds those under way. It is safe for concurrent use.
 type Transactions struct {
-	mu   sync.Mutex
-	last uint64
-	all  map[uint64]*Transaction
+	mu    sync.Mutex
+	last  uint64
+	all   map[uint64]*Transaction
+	names map[name]struct{} // of those that have one
 }
 
+// name is what a transaction goes by outside.
+type name struct{ front, name string }
+
 // NewTransactions returns an empty table.
 func NewTransactions() *Transactions {
-	return &Transactions{all: make(map[uint64]*Transaction)}
+	return &Transactions{all: make(map[uint64]*Transaction), names: make(map[name]struct{})}
 }
 
-// Add enters a transaction and returns its number.
-func (t *Transactions) Add(x Transaction) uint64 {
+// Add enters a transaction and returns its number. It fails if another of that
+// front and name is under way.
+func (t *Transactions) Add(x Transaction) (number uint64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	by := name{x.Front, x.Name}
+	if _, taken := t.names[by]; taken {
+		return 0, false
+	}
+	if x.Name != "" {
+		t.names[by] = struct{}{}
+	}
 	t.last++
 	x.Number = t.last
 	t.all[x.Number] = &x
-	return x.Number
+	return x.Number, true
 }
 
 // Set notes how far a transaction has come.
@@ -70,7 +82,10 @@
 func (t *Transactions) Remove(number uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.all, number)
+	if x := t.all[number]; x != nil {
+		delete(t.names, name{x.Front, x.Name})
+		delete(t.all, number)
+	}
 }
 
 // Stages returns how many are at each stage.
--- a/internal/spoken/amqp/front.go
+++ b/internal/spoken/amqp/front.go
@@ -49,6 +49,7 @@
 	links    sync.WaitGroup
 	sessions map[uint16]*clientSession
 	stop     chan struct{}
+	name     string // of its container
 }
 
 // client sees one connection through.
@@ -139,6 +140,7 @@
 	if f.code != codeOpen {
 		return fault{condNotAllowed, "a connection begins with an open"}
 	}
+	c.name = text(f.field(0))
 	idle := c.opened(f.perf)
 	if err := c.write(0, open("lockroad"), nil); err != nil {
 		return err
@@ -316,7 +318,8 @@
 		attach: p, sends: !role, ids: newDeliveries(),
 	}
 	s.links[handle] = l
-	ask, err := front.ask(p, name)
+	// A link's name is unique between two containers.
+	ask, err := front.ask(p, s.client.name+"/"+name)
 	if err != nil {
 		front.Core.Counters.BadLines.Add(1)
 		l.refuse(condInvalid, err.Error(), nil)
--- a/internal/spoken/amqp/link.go
+++ b/internal/spoken/amqp/link.go
@@ -315,6 +315,9 @@
 // refuse answers an attach that never became a transaction.
 func (l *link) refuse(cond, why string, info mapping) { l.detach(cond, why, info) }
 
+// Bad answers what makes no sense.
+func (l *link) Bad(why string) { l.detach(condNotAllowed, why, nil) }
+
 // Unavailable answers that trying again is harmless.
 func (l *link) Unavailable(comeBack time.Duration) {
 	var info mapping
--- a/internal/spoken/line/front.go
+++ b/internal/spoken/line/front.go
@@ -108,6 +108,10 @@
 	go x.upstream(left)
 	f.Core.Serve(ctx, ask, x)
 	close(x.joined)
+	if x.early.Load() {
+		f.Core.Counters.BadLines.Add(1)
+		c.end("ERR\r\n")
+	}
 	c.finish()
 }
 
@@ -135,6 +139,7 @@
 	opening opening
 	joined  chan joint
 	ended   atomic.Bool // the client's own stream has
+	early   atomic.Bool // the client has gone on without waiting for its answer
 }
 
 // Pass sends the opening to a server and waits for its answer.
@@ -245,22 +250,20 @@
 }
 
 // upstream waits for the client. Before the transaction is up, the client's end
-// says that it has left; from then on, what it says is passed on, and its end as
-// well. What comes after that is read and left aside.
+// says that it has left, and a word of it that it doesn't keep to the protocol:
+// passed on, a heap of commands would be the server's to sort out. From then on,
+// what it says is passed on, and its end as well. What comes after that is read
+// and left aside.
 func (x *exchange) upstream(left func()) {
 	defer close(x.client.gone)
 	_, err := x.client.r.Peek(1)
 	var to joint
-	if err == nil {
-		to = <-x.joined
-	} else {
-		x.ended.Store(true)
-		select {
-		case to = <-x.joined:
-		default:
-			left()
-			return
-		}
+	select {
+	case to = <-x.joined: // before UP was written, and closed after any other answer
+	default:
+		x.ended.Store(err != nil)
+		x.early.Store(err == nil)
+		left()
 	}
 	buf := make([]byte, maxLine)
 	var lines splitter
@@ -286,6 +289,9 @@
 	to.server.SetReadDeadline(time.Now().Add(byeWait))
 }
 
+// Bad answers what makes no sense.
+func (x *exchange) Bad(string) { x.client.end("ERR\r\n") }
+
 // Unavailable answers that trying again is harmless.
 func (x *exchange) Unavailable(comeBack time.Duration) { x.client.end(busy(comeBack)) }
 
--- a/internal/spoken/otlp/otlp_test.go
+++ b/internal/spoken/otlp/otlp_test.go
@@ -102,6 +102,7 @@
 	return nil, balance.Full
 }
 func (exchange) Join(context.Context, core.Link, *core.Pulse) balance.Status { return balance.OK }
+func (exchange) Bad(string)                                                  {}
 func (exchange) Unavailable(time.Duration)                                   {}
 func (exchange) Failed()                                                     {}
 func (exchange) Move()                                                       {}
