Seat clients only once they have said what they want

Ruled out: CPU (0.04 s in any second) and memory (6 of 64 MB). At fault: spoken.Accept gave every connection a client's place; line.openingWait of 10 s, which PING renewed; the refusal at the door closed with bytes unread. Now: spoken.Hall, for both fronts. Seats are for transactions; who has said nothing waits apart, has 2 s in all, and makes room, the longest first. Seen in the tests: 25 ms to read a first word is too short on a busy machine, so it is 50.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	go vet -tags debug ./...
 
 fuzz:
+	go test -run '^$$' -fuzz '^FuzzHall$$' -fuzztime $(FUZZTIME) ./internal/spoken
 	go test -run '^$$' -fuzz '^FuzzTransactions$$' -fuzztime $(FUZZTIME) ./internal/core
 	go test -run '^$$' -fuzz '^FuzzMoveComesBetweenLines$$' -fuzztime $(FUZZTIME) ./internal/spoken/line
 	go test -run '^$$' -fuzz '^FuzzOpening$$' -fuzztime $(FUZZTIME) ./internal/spoken/line
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -18,6 +18,7 @@
 	"lockroad/internal/assert"
 	"lockroad/internal/console"
 	"lockroad/internal/core"
+	"lockroad/internal/spoken"
 	"lockroad/internal/spoken/amqp"
 	"lockroad/internal/spoken/discovery"
 	"lockroad/internal/spoken/line"
@@ -31,8 +32,11 @@
 	closeAfter = 150 * time.Millisecond // from then until the door is closed
 	killMargin = 400 * time.Millisecond // past the longest deadline; SIGKILL comes 300 ms later
 
-	spareFDs = 64  // descriptors for all but transactions
-	memPart  = 0.7 // of the memory limit, for the collector to keep to
+	// Of the descriptors: eighths for transactions, each of which takes two, then
+	// some for all but clients; the rest is for connections that wait.
+	seatEighths = 3
+	spareFDs    = 24
+	memPart     = 0.7 // of the memory limit, for the collector to keep to
 
 	telemetryEvery = 10 * time.Second
 	telemetryLast  = time.Second // for what still waits at the end
@@ -130,24 +134,29 @@
 // open opens the fronts' listeners.
 func (r *relay) open(o *Operator) error {
 	c := r.config
-	most, links := 4096, 0
+	seats, waiting := 4096, 1024
 	if c.Sockets > 0 {
-		most = max(1, (c.Sockets-spareFDs)/2) // one for the client, one for its server
+		seats = max(1, c.Sockets*seatEighths/8)
+		waiting = max(1, c.Sockets-2*seats-spareFDs)
 	}
+	links := 0
 	if o.AMQP.Listen != "" {
-		if links = o.AMQP.Links; links == 0 || links > most/2 {
-			links = max(1, most/2)
+		if links = o.AMQP.Links; links == 0 || links > seats/2 {
+			links = max(1, seats/2)
 		}
-		most = max(1, most-links)
+		seats = max(1, seats-links)
+		waiting = max(1, waiting/2)
 	}
-	if err := r.door("line", c.Listen, &line.Front{Core: r.core, Classes: c.Classes, Most: most}); err != nil {
+	hall := &spoken.Hall{Seats: seats, Waiting: waiting}
+	if err := r.door("line", c.Listen, &line.Front{Core: r.core, Classes: c.Classes, Hall: hall}); err != nil {
 		return err
 	}
 	if o.AMQP.Listen == "" {
 		return nil
 	}
 	return r.door("amqp", o.AMQP.Listen, &amqp.Front{
-		Core: r.core, Classes: c.Classes, Most: links, ServerPort: o.AMQP.ServerPort,
+		Core: r.core, Classes: c.Classes, ServerPort: o.AMQP.ServerPort,
+		Hall: &spoken.Hall{Seats: links, Waiting: waiting},
 	})
 }
 
--- a/internal/spoken/amqp/both_test.go
+++ b/internal/spoken/amqp/both_test.go
@@ -19,6 +19,7 @@
 	"lockroad/balance"
 	"lockroad/internal/core"
 	"lockroad/internal/memory"
+	"lockroad/internal/spoken"
 	"lockroad/internal/spoken/line"
 )
 
@@ -93,15 +94,20 @@
 	// hasty begins a transaction, goes on at once as if it were up, and returns
 	// the answer.
 	hasty func(t *testing.T, address string) string
+	// slow and endless are what clients send that never come to their point.
+	slow    []string
+	endless string
 }
 
 var wires = []wire{
 	{name: "line", front: func(k *core.Core) server {
-		return &line.Front{Core: k, Classes: []string{"page"}, Most: 64}
-	}, server: lineServer, open: lineOpen, hasty: lineHasty},
+		return &line.Front{Core: k, Classes: []string{"page"}, Hall: &spoken.Hall{Seats: 64, Waiting: 64}}
+	}, server: lineServer, open: lineOpen, hasty: lineHasty,
+		slow: []string{"PING\r\n", "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=", "p"}, endless: "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c="},
 	{name: "amqp", front: func(k *core.Core) server {
-		return &Front{Core: k, Classes: []string{"page"}, Most: 64}
-	}, server: amqpServer, open: amqpOpen, hasty: amqpHasty},
+		return &Front{Core: k, Classes: []string{"page"}, Hall: &spoken.Hall{Seats: 64, Waiting: 64}}
+	}, server: amqpServer, open: amqpOpen, hasty: amqpHasty,
+		slow: []string{string(headerAMQP[:]), "\x00\x00\x10\x00\x02\x00\x00\x00", "p"}, endless: string(headerAMQP[:]) + "\x7f\xff\xff\xff\x02\x00\x00\x00"},
 }
 
 func lineServer(t *testing.T, c *net.TCPConn, s *script) {
@@ -579,6 +585,8 @@
 				return verdict{seen: v.seen} // a pass may have gone out, or not
 			},
 			verdict{[]seen{{"failed", false, ""}}, "", 0}},
+		{"a crowd that never comes to its point", 1, []behaviour{bye}, rudeCrowd,
+			verdict{[]seen{{"up", false, "ended"}}, "ok=1", 1}},
 		{"a client that says it waits for hours", 1, []behaviour{hang},
 			func(t *testing.T, r *rig, w wire) verdict {
 				ctx, leave := context.WithTimeout(context.Background(), 4*patience)
@@ -648,6 +656,74 @@
 	return r.settled(t, second, first)
 }
 
+// rude dials and says something, a piece at a time, and more to the end. It
+// returns how long the front bears that.
+func rude(t *testing.T, address string, pieces []string, more string, every time.Duration) time.Duration {
+	began := time.Now()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	defer c.Close()
+	c.SetDeadline(began.Add(serverWait))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		io.Copy(io.Discard, c)
+	}()
+	tick := time.NewTicker(max(every, time.Nanosecond))
+	defer tick.Stop()
+	for most := 64 << 20; most > 0; {
+		var part string
+		if len(pieces) > 0 {
+			part, pieces = pieces[0], pieces[1:]
+		} else {
+			part = more
+		}
+		if _, err := io.WriteString(c, part); err != nil {
+			break
+		}
+		most -= len(part)
+		select {
+		case <-ended:
+			return time.Since(began)
+		case <-tick.C:
+		}
+	}
+	<-ended
+	return time.Since(began)
+}
+
+// rudeCrowd has clients come that say nothing, more of them than there is room
+// for, and others that never come to their point. All go within 3 s, and a usual
+// client is served meanwhile.
+func rudeCrowd(t *testing.T, r *rig, w wire) verdict {
+	var all sync.WaitGroup
+	for i := range 150 {
+		pieces, more, every := w.slow[:0], "", 100*time.Millisecond
+		switch i % 50 {
+		case 0:
+			pieces, more = w.slow, w.slow[len(w.slow)-1]
+		case 1:
+			pieces, more, every = []string{w.endless}, strings.Repeat("x", 1<<16), 0
+		}
+		all.Go(func() {
+			if took := rude(t, r.address, pieces, more, every); took > 3*time.Second {
+				t.Errorf("a client that says %q goes after %v", pieces, took)
+			}
+		})
+	}
+	// On a busy machine the client's own first word can be late, and its place be
+	// given to another: then it comes again.
+	s := seen{}
+	for try := 0; try < 5 && s.answer != "up"; try++ {
+		s = one(t, r, w, patience, nil)
+	}
+	all.Wait()
+	return r.settled(t, s)
+}
+
 // crowdAtColdServer has four clients ask at once for a server that has just
 // started. Within the time that could push it over it takes one of them.
 func crowdAtColdServer(t *testing.T, r *rig, w wire) verdict {
--- a/internal/spoken/amqp/frame.go
+++ b/internal/spoken/amqp/frame.go
@@ -192,7 +192,8 @@
 // conn is a connection that speaks in frames, to either side.
 type conn struct {
 	*net.TCPConn
-	r *bufio.Reader
+	r     *bufio.Reader
+	until time.Time // by when all that is read has to be there; none if zero
 
 	mu   sync.Mutex
 	most int // the peer's largest frame
@@ -205,9 +206,19 @@
 	return &conn{TCPConn: c, r: bufio.NewReaderSize(c, 4<<10), most: leastMost}
 }
 
+// within bounds the next read. Whatever comes meanwhile, a greeting as a whole
+// has its own bound.
+func (c *conn) within(wait time.Duration) {
+	by := time.Now().Add(wait)
+	if !c.until.IsZero() && c.until.Before(by) {
+		by = c.until
+	}
+	c.SetReadDeadline(by)
+}
+
 // read waits for the next frame, for so long at the most.
 func (c *conn) read(kind byte, wait time.Duration) (frame, error) {
-	c.SetReadDeadline(time.Now().Add(wait))
+	c.within(wait)
 	var head [4]byte
 	if _, err := io.ReadFull(c.r, head[:]); err != nil {
 		return frame{}, err
@@ -266,7 +277,7 @@
 
 // readHeader waits for a protocol header.
 func (c *conn) readHeader(wait time.Duration) (h [8]byte, err error) {
-	c.SetReadDeadline(time.Now().Add(wait))
+	c.within(wait)
 	_, err = io.ReadFull(c.r, h[:])
 	return h, err
 }
--- a/internal/spoken/amqp/front.go
+++ b/internal/spoken/amqp/front.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"slices"
@@ -16,7 +17,7 @@
 )
 
 const (
-	helloWait = 10 * time.Second       // a client may take this long to open
+	helloWait = spoken.OpeningWait     // a client may take this long to open, all in all
 	leaveWait = 600 * time.Millisecond // links still come for this long after the word to leave
 	byeWait   = time.Second            // a peer may take this long to answer a close
 )
@@ -24,27 +25,24 @@
 // Front is where clients that speak AMQP come in.
 type Front struct {
 	Core    *core.Core
-	Classes []string // their names, in the order of the settings
-	Most    int      // links at a time; the rest are turned away
+	Classes []string     // their names, in the order of the settings
+	Hall    *spoken.Hall // its seats are for links, its room for connections without
 	// ServerPort is where application servers speak AMQP; 0: as discovery says.
 	ServerPort int
 	Idle       time.Duration // a client that is silent for this long goes; 0: the usual
-
-	places chan struct{}
-	once   sync.Once
 }
 
 // Serve takes clients until the listener is closed, and then sees those through
 // that it has.
 func (f *Front) Serve(ctx context.Context, l net.Listener) error {
-	f.once.Do(func() { f.places = make(chan struct{}, f.Most) })
-	return spoken.Accept(ctx, l, f.Most, f.client, func(context.Context, *net.TCPConn) {})
+	return spoken.Accept(ctx, l, f.Hall, f.client)
 }
 
 // client is a client's connection.
 type client struct {
 	*conn
 	front    *Front
+	guest    *spoken.Guest
 	ctx      context.Context
 	links    sync.WaitGroup
 	sessions map[uint16]*clientSession
@@ -53,10 +51,10 @@
 }
 
 // client sees one connection through.
-func (f *Front) client(ctx context.Context, tcp *net.TCPConn) {
+func (f *Front) client(ctx context.Context, tcp *net.TCPConn, g *spoken.Guest) {
 	ctx, cancel := context.WithCancel(ctx)
 	c := &client{
-		conn: newConn(tcp), front: f, ctx: ctx,
+		conn: newConn(tcp), front: f, guest: g, ctx: ctx,
 		sessions: make(map[uint16]*clientSession), stop: make(chan struct{}),
 	}
 	closed := context.AfterFunc(ctx, func() { tcp.Close() })
@@ -80,19 +78,35 @@
 // words of the client unread would reset it.
 func (c *client) linger() {
 	c.CloseWrite()
-	c.SetReadDeadline(time.Now().Add(byeWait))
-	for buf := make([]byte, 1024); ; {
-		if _, err := c.r.Read(buf); err != nil {
-			return
-		}
-	}
+	c.SetReadDeadline(time.Now().Add(spoken.LingerFor))
+	io.CopyN(io.Discard, c.r, spoken.LingerBytes)
+}
+
+// showOut closes a connection without links to make room for another. It never
+// waits for who is writing on it.
+func (c *client) showOut() {
+	if c.mu.TryLock() {
+		c.quit = true
+		c.buf = appendFrame(c.buf[:0], frameAMQP, 0,
+			perf{codeClose, list{errorOf(condLimit, "the relay needs the room", nil)}}, nil)
+		c.SetWriteDeadline(time.Now().Add(time.Millisecond))
+		c.Write(c.buf)
+		c.mu.Unlock()
+	}
+	c.Close()
 }
 
 // run greets the client and takes its frames, until its connection ends.
 func (c *client) run() error {
+	c.until = c.guest.Since.Add(helloWait)
 	if err := c.greet(); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return fault{condLimit, "the connection has not been opened in time"}
+		}
 		return err
 	}
+	c.until = time.Time{}
+	c.guest.ShowOut(c.showOut)
 	go c.leave()
 	idle := cmp.Or(c.front.Idle, idleMost)
 	for {
@@ -322,19 +336,17 @@
 	ask, err := front.ask(p, s.client.name+"/"+name)
 	if err != nil {
 		front.Core.Counters.BadLines.Add(1)
-		l.refuse(condInvalid, err.Error(), nil)
+		s.refuse(l, condInvalid, err.Error())
 		return nil
 	}
-	select {
-	case front.places <- struct{}{}:
-	default:
-		l.refuse(condLimit, "the relay holds as many links as it may", nil)
+	if !s.client.guest.Sit() {
+		s.refuse(l, condLimit, "the relay holds as many links as it may")
 		return nil
 	}
 	ctx, left := context.WithCancel(s.client.ctx)
 	l.left = left
 	s.client.links.Go(func() {
-		defer func() { <-front.places }()
+		defer s.client.guest.Rise()
 		defer left()
 		front.Core.Serve(ctx, ask, l)
 		l.finish()
@@ -342,6 +354,14 @@
 	return nil
 }
 
+// refuse answers an attach that never becomes a transaction. What is kept of it,
+// until the client detaches, is next to nothing: refused links could else be had
+// by the hundred at 8 KiB each.
+func (s *clientSession) refuse(l *link, cond, why string) {
+	l.detach(cond, why, nil)
+	s.links[l.handle] = &link{front: l.front, session: l.session, handle: l.handle, sends: l.sends, ids: l.ids, detached: true}
+}
+
 // ask reads what the attach's properties say of the transaction.
 func (f *Front) ask(p perf, name string) (core.Ask, error) {
 	props, _ := p.field(13).(mapping)
--- a/internal/spoken/amqp/link.go
+++ b/internal/spoken/amqp/link.go
@@ -312,9 +312,6 @@
 	s.write(s.channel, perf{codeDetach, list{l.handle, true, errorOf(cond, why, info)}}, nil)
 }
 
-// refuse answers an attach that never became a transaction.
-func (l *link) refuse(cond, why string, info mapping) { l.detach(cond, why, info) }
-
 // Bad answers what makes no sense.
 func (l *link) Bad(why string) { l.detach(condNotAllowed, why, nil) }
 
--- a/internal/spoken/amqp/passing_test.go
+++ b/internal/spoken/amqp/passing_test.go
@@ -12,6 +12,7 @@
 	client10 "github.com/Azure/go-amqp"
 
 	"lockroad/internal/core"
+	"lockroad/internal/spoken"
 )
 
 // dialFront opens a session of an independent client at a front.
@@ -251,7 +252,7 @@
 func TestSilentClientIsClosed(t *testing.T) {
 	w := wires[1]
 	w.front = func(k *core.Core) server {
-		return &Front{Core: k, Classes: []string{"page"}, Most: 64, Idle: 100 * time.Millisecond}
+		return &Front{Core: k, Classes: []string{"page"}, Hall: &spoken.Hall{Seats: 64, Waiting: 64}, Idle: 100 * time.Millisecond}
 	}
 	r := newRig(t, w, 1, nil)
 	dialRaw(t, r.address).want(codeClose, 0, condLimit)
--- a/internal/spoken/amqp/session.go
+++ b/internal/spoken/amqp/session.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	channelMost = 15   // sessions of a connection, less one
-	handleMost  = 255  // links of a session, less one
+	channelMost = 7    // sessions of a connection, less one
+	handleMost  = 63   // links of a session, less one
 	windowMost  = 1024 // transfers that may come in before the window is opened again
 	unsettled   = 4096 // deliveries of a link that may be unsettled at a time
 )
--- /dev/null
+++ b/internal/spoken/hall.go
@@ -0,0 +1,173 @@
+package spoken
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// OpeningWait is how long a client may take, from its connection on, to say
+	// whole what it wants. Those that don't are owed a word or a close within 3 s.
+	OpeningWait = 2 * time.Second
+	// LingerFor is how long a client that was answered may take to read that, and
+	// LingerBytes how much of what it still says is read meanwhile.
+	LingerFor   = 500 * time.Millisecond
+	LingerBytes = 256 << 10
+
+	// A guest that waits gets this long for its first word to be read before it can
+	// be shown out: a crowd that connects at once would else push out the one among
+	// them whose word is on its way.
+	waitLeast = 50 * time.Millisecond
+)
+
+// Hall bounds what the clients of a front hold: seats, for those with a
+// transaction, and room to wait, for connections that have not said yet what they
+// want or have been answered. It guards against connections by the hundred that
+// say nothing: those take no seat, and the one that has waited longest makes room.
+type Hall struct {
+	Seats   int
+	Waiting int
+
+	mu    sync.Mutex
+	taken int
+	queue []*Guest      // who waits, the longest first
+	left  chan struct{} // a value when one has made room
+}
+
+// Guest is a client's connection in a hall. It waits as it comes in.
+type Guest struct {
+	Since time.Time // it has waited from then on
+	hall  *Hall
+	out   func()
+	seats int
+	gone  bool
+}
+
+// Accept hands the connections that come in to client, each on a goroutine of its
+// own, as the hall has room. It returns after the listener is closed and every
+// client has been seen through.
+func Accept(ctx context.Context, l net.Listener, h *Hall, client func(context.Context, *net.TCPConn, *Guest)) error {
+	h.mu.Lock()
+	h.left = make(chan struct{}, 1)
+	h.mu.Unlock()
+	var all sync.WaitGroup
+	defer all.Wait()
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil { // out of descriptors, or a client that left in the queue: it passes
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(10 * time.Millisecond):
+			}
+			continue
+		}
+		conn := c.(*net.TCPConn)
+		g := &Guest{hall: h, out: func() { conn.Close() }}
+		if !h.enter(ctx, g) {
+			conn.Close()
+			return nil
+		}
+		all.Go(func() {
+			defer g.leave()
+			client(ctx, conn, g)
+		})
+	}
+}
+
+// enter has a guest wait. While there is no room, who has waited longest is shown
+// out; nobody is before its least time. It fails when ctx ends first.
+func (h *Hall) enter(ctx context.Context, g *Guest) bool {
+	for {
+		h.mu.Lock()
+		if ctx.Err() != nil {
+			h.mu.Unlock()
+			return false
+		}
+		if len(h.queue) < max(1, h.Waiting) {
+			g.Since = time.Now()
+			h.queue = append(h.queue, g)
+			h.mu.Unlock()
+			return true
+		}
+		first := h.queue[0]
+		rest := waitLeast - time.Since(first.Since)
+		if rest <= 0 {
+			first.gone = true
+			h.queue = h.queue[1:]
+			out := first.out
+			h.mu.Unlock()
+			out()
+			continue
+		}
+		h.mu.Unlock()
+		select {
+		case <-h.left:
+		case <-time.After(rest):
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// drop takes a guest out of those who wait. The caller holds the lock.
+func (h *Hall) drop(g *Guest) {
+	if i := slices.Index(h.queue, g); i >= 0 {
+		h.queue = slices.Delete(h.queue, i, i+1)
+		select {
+		case h.left <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// ShowOut sets how the guest is told, in no time, to make room.
+func (g *Guest) ShowOut(out func()) {
+	g.hall.mu.Lock()
+	defer g.hall.mu.Unlock()
+	g.out = out
+}
+
+// Sit takes a seat, and the guest waits no more. It fails if none is free, or if
+// the guest has been shown out. A guest may have several seats.
+func (g *Guest) Sit() bool {
+	h := g.hall
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if g.gone || h.taken >= h.Seats {
+		return false
+	}
+	if h.taken++; g.seats == 0 {
+		h.drop(g)
+	}
+	g.seats++
+	return true
+}
+
+// Rise gives a seat back. After the last the guest waits again.
+func (g *Guest) Rise() {
+	h := g.hall
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.taken--
+	if g.seats--; g.seats == 0 && !g.gone {
+		g.Since = time.Now()
+		h.queue = append(h.queue, g)
+	}
+}
+
+// leave ends the guest's stay.
+func (g *Guest) leave() {
+	h := g.hall
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	g.gone = true
+	h.drop(g)
+}
--- a/internal/spoken/line/client.go
+++ b/internal/spoken/line/client.go
@@ -4,15 +4,17 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
+
+	"lockroad/internal/spoken"
 )
 
 const (
-	lingerFor = time.Second            // a client may take this long to read its last line
-	writeFor  = 5 * time.Second        // a client that takes nothing for this long is gone
-	moveFor   = 300 * time.Millisecond // the rest of a line may take this long before MOVE
+	writeFor = 5 * time.Second        // a client that takes nothing for this long is gone
+	moveFor  = 300 * time.Millisecond // the rest of a line may take this long before MOVE
 )
 
 const lineMove = "MOVE\r\n"
@@ -92,11 +94,18 @@
 // closing with words of the client unread would reset it.
 func (c *client) finish() {
 	c.CloseWrite()
-	c.SetReadDeadline(time.Now().Add(lingerFor))
+	c.SetReadDeadline(time.Now().Add(spoken.LingerFor))
 	<-c.gone
 	c.Close()
 }
 
+// drain reads what a client still says after its last line, until its end or so
+// much of it that it costs the others.
+func (c *client) drain() {
+	io.CopyN(io.Discard, c.r, spoken.LingerBytes)
+	close(c.gone)
+}
+
 // reset breaks a connection off, as the other side of it was.
 func reset(c *net.TCPConn) {
 	c.SetLinger(0)
--- a/internal/spoken/line/front.go
+++ b/internal/spoken/line/front.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -18,15 +19,15 @@
 )
 
 const (
-	openingWait = 10 * time.Second // a client that says nothing for this long goes
-	byeWait     = 5 * time.Second  // a server may take this long to end what its client has
+	byeWait   = 5 * time.Second // a server may take this long to end what its client has
+	pingsMost = 16              // that a client may send before its opening
 )
 
 // Front is where clients of the platform come in.
 type Front struct {
 	Core    *core.Core
 	Classes []string // their names, in the order of the settings
-	Most    int      // clients at a time; the rest get an unavailable answer
+	Hall    *spoken.Hall
 
 	notes notes
 }
@@ -34,22 +35,30 @@
 // Serve takes clients until the listener is closed, and then sees those through
 // that it has.
 func (f *Front) Serve(ctx context.Context, l net.Listener) error {
-	return spoken.Accept(ctx, l, f.Most, f.client, func(_ context.Context, c *net.TCPConn) {
-		c.SetWriteDeadline(time.Now().Add(moveFor))
-		io.WriteString(c, "BUSY\r\n")
-	})
+	return spoken.Accept(ctx, l, f.Hall, f.client)
+}
+
+// showOut tells a client that has not said what it wants to come again. So short
+// a line never waits for a client that has been sent next to nothing.
+func showOut(c *net.TCPConn) {
+	c.SetWriteDeadline(time.Now().Add(time.Millisecond))
+	io.WriteString(c, "BUSY\r\n")
+	c.Close()
 }
 
 // client sees one client's connection through.
-func (f *Front) client(ctx context.Context, conn *net.TCPConn) {
+func (f *Front) client(ctx context.Context, conn *net.TCPConn, g *spoken.Guest) {
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	c := newClient(conn)
 	defer c.Close()
-	for {
-		c.SetReadDeadline(time.Now().Add(openingWait))
+	g.ShowOut(func() { showOut(conn) })
+	// The whole opening has to be there by then; nothing that comes before it gives
+	// a client more time.
+	c.SetReadDeadline(g.Since.Add(spoken.OpeningWait))
+	for pings := 0; ; pings++ {
 		text, err := c.r.ReadSlice('\n')
-		if errors.Is(err, bufio.ErrBufferFull) {
+		if errors.Is(err, bufio.ErrBufferFull) || errors.Is(err, os.ErrDeadlineExceeded) || pings > pingsMost {
 			f.bad(c)
 			return
 		}
@@ -69,8 +78,15 @@
 			f.bad(c)
 			return
 		}
+		if !g.Sit() {
+			f.turnAway(c)
+			return
+		}
 		c.SetReadDeadline(time.Time{})
 		f.open(ctx, c, o, class)
+		c.CloseWrite() // nothing follows its last line, not even if it is shown out
+		g.Rise()
+		c.finish()
 		return
 	}
 }
@@ -87,10 +103,15 @@
 func (f *Front) bad(c *client) {
 	f.Core.Counters.BadLines.Add(1)
 	c.end("ERR\r\n")
-	go func() {
-		io.Copy(io.Discard, c.r)
-		close(c.gone)
-	}()
+	go c.drain()
+	c.finish()
+}
+
+// turnAway answers a client that no seat is free for. Its opening has been read:
+// closing with it unread would reset the connection, and lose the answer.
+func (f *Front) turnAway(c *client) {
+	c.end(busy(0))
+	go c.drain()
 	c.finish()
 }
 
@@ -112,7 +133,6 @@
 		f.Core.Counters.BadLines.Add(1)
 		c.end("ERR\r\n")
 	}
-	c.finish()
 }
 
 // server is the application server's side of a transaction.
@@ -255,29 +275,30 @@
 // what it says is passed on, and its end as well. What comes after that is read
 // and left aside.
 func (x *exchange) upstream(left func()) {
-	defer close(x.client.gone)
+	defer x.client.drain()
 	_, err := x.client.r.Peek(1)
 	var to joint
 	select {
 	case to = <-x.joined: // before UP was written, and closed after any other answer
 	default:
-		x.ended.Store(err != nil)
 		x.early.Store(err == nil)
 		left()
 	}
 	buf := make([]byte, maxLine)
 	var lines splitter
-	for err == nil {
+	for err == nil && to.server != nil {
 		var n int
 		n, err = x.client.r.Read(buf)
-		if n > 0 && to.server != nil {
+		if n > 0 {
 			lines.feed(buf[:n], func([]byte) { to.pulse.Asked() })
 			if _, broke := to.server.Write(buf[:n]); broke != nil {
 				to.server = nil // the other direction sees why
 			}
 		}
 	}
-	x.ended.Store(true)
+	if err != nil {
+		x.ended.Store(true)
+	}
 	if to.server == nil {
 		return
 	}
--- a/internal/spoken/line/front_test.go
+++ b/internal/spoken/line/front_test.go
@@ -15,6 +15,7 @@
 
 	"lockroad/balance"
 	"lockroad/internal/core"
+	"lockroad/internal/spoken"
 )
 
 // site is a front with one application server, whose end the test holds.
@@ -47,7 +48,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	all.Go(func() { k.Run(ctx) })
-	all.Go(func() { (&Front{Core: k, Classes: []string{"page"}, Most: most}).Serve(ctx, doors[1]) })
+	all.Go(func() {
+		(&Front{Core: k, Classes: []string{"page"}, Hall: &spoken.Hall{Seats: most, Waiting: 4}}).Serve(ctx, doors[1])
+	})
 	t.Cleanup(func() {
 		doors[0].Close()
 		doors[1].Close()
@@ -192,11 +195,21 @@
 	client.want("PONG\r\nPONG\r\n")
 }
 
-// Past its descriptors a relay has to turn clients away, not to fail.
-func TestClientsBeyondTheMostAreTurnedAway(t *testing.T) {
+// Past its seats a relay has to turn clients away, and so that they can read it:
+// closing with their opening unread would reset the connection.
+func TestClientsBeyondTheSeatsAreTurnedAway(t *testing.T) {
 	s := newSite(t, 1)
 	s.open()
 	client := s.client()
+	client.say("OPEN a1 7f3a9c21e0b4d655 c=page,d=4000\r\n")
 	client.want("BUSY\r\n")
 	client.wantEnd(false)
 }
+
+// A client may ask whether the relay is there, but not without end.
+func TestPingsAreBounded(t *testing.T) {
+	client := newSite(t, 8).client()
+	client.say(strings.Repeat("PING\r\n", 300))
+	client.want(strings.Repeat("PONG\r\n", pingsMost+1) + "ERR\r\n")
+	client.wantEnd(false)
+}
