Draw past slow servers while few of the farm are slow

Checked: balance.draw drew among slow servers too, and advance then rested 100 ms and drew the same, as the chance of a keyed draw is the same. Kept: 0.3 and 0.1. At fault: balance.go, draw.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -43,6 +43,8 @@
 	spareLeast = 0.1
 
 	slowLife = 3 * time.Second        // a server is slow for this long after the last note
+	slowPart = 0.3                    // while less of the fleet is slow, draws pass over slow servers,
+	easePart = 0.1                    // and while less is, over those that are eased into work
 	easeFor  = 10 * time.Second       // a server that was slow is eased into work for this long,
 	easeGap  = 200 * time.Millisecond // by one set-up in this from all relays together
 	drainIn  = 3 * time.Second        // work piled up on a slow server should be gone by then
@@ -399,13 +401,17 @@
 }
 
 // draw draws a server at random by weight: the least of exponential draws, each
-// at the rate of its weight, falls on each in proportion to its weight.
+// at the rate of its weight, falls on each in proportion to its weight. While few
+// are slow the draw passes them over: waiting for one while others are free guards
+// against nothing. It does where many are slow, as a crowd that moves on then makes
+// the next slow.
 func (b *Balancer) draw(q *request) *server {
-	load, size, _ := b.totals()
+	load, size, _, slow := b.totals()
 	var best *server
 	least := math.Inf(1)
 	for _, s := range b.fleet.servers {
-		if !b.usable(q, s) {
+		if !b.usable(q, s) || slow < slowPart*size && s.slowAt(b.now) ||
+			slow < easePart*size && b.mustWait(s) {
 			continue
 		}
 		if d := b.chance(q.key(), s) / b.drawWeight(s, load/size); d < least {
@@ -585,7 +591,7 @@
 	if warmth >= 1 {
 		return true
 	}
-	if _, _, warm := b.totals(); warm > 0 {
+	if _, _, warm, _ := b.totals(); warm > 0 {
 		b.fleet.perSize = b.fleet.recent.at(b.now) / rateMemory.Seconds() / warm
 	}
 	n := b.fleet.perSize * s.size() * b.set.TipAfter.Seconds() * b.set.TipMultiple * coldPart
--- a/balance/state.go
+++ b/balance/state.go
@@ -105,7 +105,7 @@
 	load    float64 // mean told load of a connection
 	loads   float64 // told so far
 
-	sums   [3]float64 // totals as of the event at hand
+	sums   [4]float64 // totals as of the event at hand
 	summed bool
 }
 
@@ -163,12 +163,12 @@
 }
 
 // totals adds up the ready servers: what this relay has placed on them, their
-// size, and the size of those that are warm. It does so once an event, as a
-// fleet may be large.
-func (b *Balancer) totals() (load, size, warm float64) {
+// size, and the size of those that are warm and of those that are slow. It does
+// so once an event, as a fleet may be large.
+func (b *Balancer) totals() (load, size, warm, slow float64) {
 	f := &b.fleet
 	if f.summed {
-		return f.sums[0], f.sums[1], f.sums[2]
+		return f.sums[0], f.sums[1], f.sums[2], f.sums[3]
 	}
 	for _, s := range b.fleet.servers {
 		if s.State == Ready {
@@ -177,10 +177,13 @@
 			if b.warmth(s) >= 1 {
 				warm += s.size()
 			}
+			if s.slowAt(b.now) {
+				slow += s.size()
+			}
 		}
 	}
-	f.sums, f.summed = [3]float64{load, size, warm}, true
-	return load, size, warm
+	f.sums, f.summed = [4]float64{load, size, warm, slow}, true
+	return load, size, warm, slow
 }
 
 // fading is a count in which what is past fades.
