Tell the longer of a server's own delay and a missing echo

Checked: from 10.7 s to 1.7 s the module reads a growth of -9 s a second, by which it keeps more than all. Ruled out: that echoes come late (none is seen without a hang). At fault: core/pulse.go told echoes beside Pulse.Delay without regard to it; line/notes.go took any figure on the beat. Its bound of growth is 2 s a second: 1.21 has been seen.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -370,7 +370,10 @@
 		server: to.ID, up: p.up,
 		silent: func() { p.cancel(errSilent) },
 		load:   func(load float64) { c.facade.Report(balance.Load{Ticket: t.ticket, Load: load}) },
-		delay:  func(d time.Duration) { c.facade.Report(balance.Delay{Server: to.ID, Delay: d}) },
+		delay: func(d time.Duration) {
+			c.pulses.heard(to.ID, d)
+			c.facade.Report(balance.Delay{Server: to.ID, Delay: d})
+		},
 	})
 	defer c.pulses.remove(pulse)
 	stop := context.AfterFunc(c.leaving, func() {
--- a/internal/core/pulse.go
+++ b/internal/core/pulse.go
@@ -92,8 +92,15 @@
 	at    time.Duration
 	worst time.Duration // since then
 	over  bool          // the last told was over the floor
+
+	said   time.Duration // what the server itself last said, at saidAt
+	saidAt time.Duration
 }
 
+// saidFor is how long a server's own word on its delay holds, with a little to
+// spare: it comes once a second.
+const saidFor = 1500 * time.Millisecond
+
 func newPulses(s balance.Settings, clock Clock) *pulses {
 	p := &pulses{clock: clock, all: make(map[*Pulse]struct{}), told: make(map[balance.ServerID]told)}
 	for _, c := range s.Classes {
@@ -118,6 +125,15 @@
 	delete(p.all, pulse)
 }
 
+// heard notes what a server says itself of its delay.
+func (p *pulses) heard(id balance.ServerID, delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.told[id]
+	t.said, t.saidAt = delay, p.clock.Now()
+	p.told[id] = t
+}
+
 // look takes all pulses, ends the silent ones and returns the delays to tell:
 // once a second of a server while it is over the floor, and once more when it is
 // back under.
@@ -138,6 +154,12 @@
 		t.worst = max(t.worst, delay)
 		if now-t.at >= delayEvery && p.floor > 0 {
 			if over := t.worst > p.floor; over || t.over {
+				// A missing echo tells only that a message takes that long at the least.
+				// Told beside the server's own word, a younger and so smaller wait reads
+				// as a delay that falls fast, and a hung server was left its connections.
+				if now < t.saidAt+saidFor {
+					t.worst = max(t.worst, t.said)
+				}
 				tell = append(tell, balance.Delay{Server: id, Delay: t.worst})
 				t.over = over
 			}
--- a/internal/core/pulse_test.go
+++ b/internal/core/pulse_test.go
@@ -72,3 +72,22 @@
 		}
 	})
 }
+
+// Seen: a hung server says 10.7 s, and 0.7 s later an echo is missing for 1.7 s.
+// Told as it was, the module took the delay to fall by 9 s and moved nobody.
+func TestMissingEchoDoesNotOutdateTheServersWord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPulses(settings(), NewClock())
+		pulse := p.add(&Pulse{server: 1, silent: func() {}})
+		p.heard(1, 10*time.Second)
+		pulse.Asked()
+		time.Sleep(time.Second)
+		if tell := p.look(p.clock.Now()); len(tell) != 1 || tell[0].Delay != 10*time.Second {
+			t.Errorf("told as %v", tell)
+		}
+		time.Sleep(2 * time.Second) // the word has grown old
+		if tell := p.look(p.clock.Now()); len(tell) != 1 || tell[0].Delay != 3*time.Second {
+			t.Errorf("later told as %v", tell)
+		}
+	})
+}
--- a/internal/spoken/line/notes.go
+++ b/internal/spoken/line/notes.go
@@ -23,7 +23,8 @@
 	freshFor  = 60 * time.Millisecond
 	sureDelay = 100    // even an idle connection's load is more, in microseconds a second
 	mostDelay = 30_000 // milliseconds
-	growMost  = 1100   // milliseconds that a delay can grow by from one beat to the next
+	growMost  = 1100   // milliseconds that a delay that is a guess can change by from one beat to the next
+	surgeMost = 2000   // milliseconds that a known one can grow by in a second
 	guessMost = 8      // figures of a server that may turn out to be delays
 )
 
@@ -36,6 +37,7 @@
 // beats is what is known of the times at which a server tells its delay.
 type beats struct {
 	at      time.Duration // a delay came last; 0 if none has
+	last    float64       // that delay
 	count   int           // how many have come on the dot
 	guesses []guess       // of the last second
 }
@@ -67,7 +69,10 @@
 	}
 	gap := now - b.at
 	switch {
-	case b.count > 0 && gap >= beat-beatSlack && min(gap%beat, beat-gap%beat) <= beatSlack:
+	// A load that falls on the beat by chance passed for a delay of 24 s, and had a
+	// sound server's connections moved: no delay grows that fast.
+	case b.count > 0 && gap >= beat-beatSlack && min(gap%beat, beat-gap%beat) <= beatSlack &&
+		figure <= b.last+surgeMost*(gap+beatSlack).Seconds():
 	case b.count > 1 && gap < beatRest:
 		return false
 	case figure < sureDelay:
@@ -80,7 +85,7 @@
 		b.guesses = append(b.guesses, guess{now, figure})
 		return false
 	}
-	b.at, b.count, b.guesses = now, b.count+1, nil
+	b.at, b.last, b.count, b.guesses = now, figure, b.count+1, nil
 	return true
 }
 
--- a/internal/spoken/line/notes_test.go
+++ b/internal/spoken/line/notes_test.go
@@ -33,6 +33,9 @@
 			{0, 900, 48313.2, false}, {300, 900, 410.5, false}, {1302, 900, 702.2, true}, {2301, 900, 980, true},
 			{2700, 900, 620, false}, {3300, 900, 31020.1, false},
 		},
+		"a load on the beat": { // seen: 24137 moved half of a server's connections away
+			{0, 900, 19.9, true}, {980, 900, 24137.428, false}, {1000, 900, 13.8, true}, {2001, 900, 1900.5, true},
+		},
 		"loads only": {
 			{100, 20, 348232.7, false}, {950, 900, 8182.6, false}, {2400, 2300, 1702.5, false},
 			{3900, 3800, 25974.3, false}, {4200, 4100, 0, false},
