Move a leaving relay's clients late and one after another

For 1.5 s no relay takes connections, though SIGKILL comes to n0 only at 19.54. Then all come at once: set-ups at the servers they fall on rise from 20 to 1500 ms, and those drop clients. Checked: no connection was lost on the way; the list was up to date. At fault: lifecycle.wait, which moved all as early as it could, and took SIGKILL to come after the longest deadline (4.8 s) where it counts as 3 s: a transaction that still waited by then would have been killed without an answer. Now: moves from 1.9 to 1.1 s ahead of SIGKILL, spread evenly; who waits is answered 0.8 s ahead of it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"sync/atomic"
 	"time"
 
 	"lockroad/balance"
@@ -79,11 +81,15 @@
 
 	leaving context.Context // ends once everyone is to move
 	moveAll context.CancelFunc
+	spread  atomic.Int64    // time over which they do
+	closing context.Context // ends once who waits is to be answered
+	turnAll context.CancelFunc
 }
 
 // New returns a Core with nothing in it.
 func New(s balance.Settings, seed uint64, clock Clock) *Core {
 	leaving, moveAll := context.WithCancel(context.Background())
+	closing, turnAll := context.WithCancel(context.Background())
 	return &Core{
 		Clock:        clock,
 		Farm:         memory.NewFarm(),
@@ -96,6 +102,8 @@
 		pulses:       newPulses(s, clock),
 		leaving:      leaving,
 		moveAll:      moveAll,
+		closing:      closing,
+		turnAll:      turnAll,
 	}
 }
 
@@ -137,8 +145,30 @@
 	errLeave  = errors.New("the relay is leaving")
 )
 
-// MoveAll has every transaction that stands, and every one that will, sent away.
-func (c *Core) MoveAll() { c.moveAll() }
+// MoveAll has every transaction that stands, and every one that will, sent away:
+// one after another over a time, lest those who take them in are swamped.
+func (c *Core) MoveAll(over time.Duration) {
+	c.spread.CompareAndSwap(0, int64(over))
+	c.moveAll()
+}
+
+// Spread is the time over which everyone moves.
+func (c *Core) Spread() time.Duration { return time.Duration(c.spread.Load()) }
+
+// TurnAway answers every transaction that is not up, now or later. It guards
+// against those that are still waiting when the relay is killed.
+func (c *Core) TurnAway() { c.turnAll() }
+
+// turn waits for a transaction's turn to move. Turns are spread evenly, whatever
+// the numbers of those that are there.
+func (c *Core) turn(ctx context.Context, number uint64) {
+	const golden = 0.6180339887498949
+	_, part := math.Modf(float64(number) * golden)
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(part * float64(c.Spread()))):
+	}
+}
 
 // Observe has an observer told of the transactions to come. It is called before
 // the first.
@@ -233,11 +263,20 @@
 		t.x.Unavailable(0)
 		return memory.Unavailable
 	}
+	waiting, answer := context.WithCancel(ctx)
+	defer answer()
+	if !t.resumed {
+		defer context.AfterFunc(c.closing, answer)()
+	}
 	for {
-		step, err := c.facade.Pick(ctx, t.ticket)
+		step, err := c.facade.Pick(waiting, t.ticket)
 		if err != nil {
 			t.pass.stop()
 			c.facade.Report(balance.Left{Ticket: t.ticket})
+			if ctx.Err() == nil { // the client is still there
+				t.x.Unavailable(0)
+				return memory.Unavailable
+			}
 			return memory.ClientLeft
 		}
 		switch step.Kind {
@@ -245,6 +284,7 @@
 			t.start(ctx, step)
 		case balance.StepUp:
 			t.trace.Up()
+			waiting = ctx // it moves with the others
 			close(t.pass.granted)
 		case balance.StepUnavailable:
 			t.x.Unavailable(step.Wait)
@@ -377,6 +417,7 @@
 	})
 	defer c.pulses.remove(pulse)
 	stop := context.AfterFunc(c.leaving, func() {
+		c.turn(ctx, t.number)
 		p.move(t.x)
 		p.cancel(errLeave)
 	})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -212,7 +212,7 @@
 // overtake the word that it is up, which reads as a failure.
 func TestMoveFollowsTheWordThatItIsUp(t *testing.T) {
 	bench(t, 1, func(k *Core, _ func(int, balance.State)) {
-		k.MoveAll()
+		k.MoveAll(time.Millisecond)
 		x := &fake{t: t, k: k, acts: always(act{how: balance.OK, lives: time.Minute})}
 		x.ask(context.Background(), time.Second)
 		if fmt.Sprint(x.answers) != "[up move]" {
@@ -221,6 +221,53 @@
 	})
 }
 
+// A crowd that moves all at once swamps those who take it in.
+func TestEveryoneMovesOneAfterAnother(t *testing.T) {
+	bench(t, 1, func(k *Core, _ func(int, balance.State)) {
+		const n, over = 40, 800 * ms
+		var all sync.WaitGroup
+		moved := make(chan time.Duration, n)
+		for range n {
+			all.Go(func() {
+				x := &fake{t: t, k: k, acts: always(act{how: balance.OK, lives: time.Minute})}
+				x.ask(context.Background(), time.Second)
+				moved <- x.at
+			})
+		}
+		synctest.Wait()
+		began := k.Clock.Now()
+		k.MoveAll(over)
+		all.Wait()
+		close(moved)
+		var quarters [4]int
+		for at := range moved {
+			if after := at - began; after > over {
+				t.Fatalf("a client moves after %v", after)
+			} else {
+				quarters[min(3, 4*after/over)]++
+			}
+		}
+		for i, got := range quarters {
+			if got < n/8 || got > n/2 {
+				t.Errorf("%d of %d move in quarter %d", got, n, i+1)
+			}
+		}
+	})
+}
+
+// SIGKILL can come before a client's patience has passed: who waits is answered.
+func TestWaitingClientsAreAnsweredBeforeTheEnd(t *testing.T) {
+	bench(t, 1, func(k *Core, _ func(int, balance.State)) {
+		x := &fake{t: t, k: k, acts: always(act{how: balance.OK, after: time.Minute})}
+		began := k.Clock.Now()
+		time.AfterFunc(200*ms, k.TurnAway)
+		x.ask(context.Background(), time.Second)
+		if took := k.Clock.Now() - began; took != 200*ms || fmt.Sprint(x.answers) != "[unavailable]" {
+			t.Errorf("after %v the client has been told %v", took, x.answers)
+		}
+	})
+}
+
 // Whatever servers, clients and the list do, each transaction gets one final
 // answer while its client waits, and one pass at a time.
 func FuzzTransactions(f *testing.F) {
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -28,9 +28,20 @@
 const (
 	// After the word to leave clients still come for up to 0.4 s. Who were moved
 	// before that could come back to this very relay, to be moved once more.
-	moveAfter  = 450 * time.Millisecond
-	closeAfter = 150 * time.Millisecond // from then until the door is closed
-	killMargin = 400 * time.Millisecond // past the longest deadline; SIGKILL comes 300 ms later
+	moveAfter = 450 * time.Millisecond
+	// SIGKILL comes no earlier than this after the longest deadline, which counts as
+	// 3 s if it is longer.
+	killAfter   = 700 * time.Millisecond
+	killLongest = 3 * time.Second
+	// Ahead of it: the last is told to move, the doors are closed, who still waits is
+	// answered, and the relay ends.
+	lastMove  = 1100 * time.Millisecond
+	closeDoor = 900 * time.Millisecond
+	turnAway  = 800 * time.Millisecond
+	lastEnd   = 150 * time.Millisecond
+	// Everyone moves within this, as late as may be: the relays that are to take them
+	// in may be restarting themselves.
+	moveOver = 800 * time.Millisecond
 
 	// Of the descriptors: eighths for transactions, each of which takes two, then
 	// some for all but clients; the rest is for connections that wait.
@@ -226,17 +237,22 @@
 	case <-drain:
 	case <-r.drain:
 	}
-	longest := 3 * time.Second
+	began, killed := time.Now(), time.Duration(0)
 	for _, class := range r.config.Settings.Classes {
-		longest = max(longest, class.Deadline)
+		killed = max(killed, min(class.Deadline, killLongest))
 	}
+	killed += killAfter
 	r.log.Info("leaving", "transactions", r.core.Transactions.Len())
-	ctx, done := context.WithTimeout(ctx, longest+killMargin)
+	ctx, done := context.WithTimeout(ctx, killed-lastEnd)
 	defer done()
-	pause(ctx, moveAfter)
-	r.core.MoveAll()
-	pause(ctx, closeAfter)
+	until := func(at time.Duration) { pause(ctx, time.Until(began.Add(at))) }
+	move := max(moveAfter, killed-lastMove-moveOver)
+	until(move)
+	r.core.MoveAll(max(time.Millisecond, killed-lastMove-move))
+	until(killed - closeDoor)
 	r.close()
+	until(killed - turnAway)
+	r.core.TurnAway()
 	<-ctx.Done() // the fronts end it before its time once the last client is gone
 	return nil
 }
--- a/internal/lifecycle/run_test.go
+++ b/internal/lifecycle/run_test.go
@@ -154,6 +154,7 @@
 	drain := make(chan struct{})
 	address, done := start(t, Words{Leave: drain}, listen(t), &Operator{AMQP: AMQP{Listen: "127.0.0.1:0"}}, io.Discard)
 	clients := []*bufio.Reader{open(t, address)}
+	told := time.Now()
 	close(drain)
 	clients = append(clients, open(t, address)) // the front has not noticed yet
 	for i, r := range clients {
@@ -166,7 +167,7 @@
 		if err != nil {
 			t.Error(err)
 		}
-	case <-time.After(3500 * time.Millisecond):
+	case <-time.After(time.Until(told.Add(2200 * time.Millisecond))): // the class's 1.5 s and 0.7
 		t.Error("the relay is still there when SIGKILL comes")
 	}
 }
--- a/internal/spoken/amqp/both_test.go
+++ b/internal/spoken/amqp/both_test.go
@@ -574,7 +574,7 @@
 			verdict{[]seen{{"up", false, "broken"}}, "reset=1", 1}},
 		{"the relay leaves", 1, []behaviour{accept},
 			func(t *testing.T, r *rig, w wire) verdict {
-				return r.settled(t, one(t, r, w, patience, r.core.MoveAll))
+				return r.settled(t, one(t, r, w, patience, func() { r.core.MoveAll(time.Millisecond) }))
 			},
 			verdict{[]seen{{"up", false, "moved"}}, "cancelled=1", 1}},
 		{"the client leaves a pass that is out", 1, []behaviour{hang}, clientLeaves,
@@ -667,7 +667,7 @@
 	name := r.name()
 	first := named(t, r, w, name, patience, func() {
 		second = named(t, r, w, name, patience, nil)
-		r.core.MoveAll()
+		r.core.MoveAll(time.Millisecond)
 	})
 	return r.settled(t, second, first)
 }
--- a/internal/spoken/amqp/front.go
+++ b/internal/spoken/amqp/front.go
@@ -192,7 +192,7 @@
 	select {
 	case <-c.stop:
 		return
-	case <-time.After(leaveWait):
+	case <-time.After(c.front.Core.Spread() + leaveWait):
 	}
 	c.write(0, perf{codeClose, list{errorOf(condForced, "the relay is leaving", nil)}}, nil)
 	c.CloseWrite()
--- a/internal/spoken/line/front_test.go
+++ b/internal/spoken/line/front_test.go
@@ -167,7 +167,7 @@
 	client, server := s.open()
 	server.say("half a li")
 	client.want("half a li")
-	s.core.MoveAll()
+	s.core.MoveAll(time.Millisecond)
 	server.say("ne\r\n")
 	client.want("ne\r\nMOVE\r\n")
 	client.wantEnd(false)
