Answer who resumes what is not open within 3 s, and keep no entry of it

Seen in reading: at=NAME of a client made an entry in the farm for every odd name (line.open called Farm.ID), never taken out; and a resumed connection was tried again every 0.1 s for 20 s, also where the server had answered that it doesn't know it. Checked by the test, which fails on both without the change (20 s, farm grown by 2). Now: Farm.Lookup makes no entry; 2 s where no list names the server or it answers an error. While no list is known at all, or the server is full or unreachable, 20 s as before, since a connection that is truly open there is lost if it isn't up again.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	Front string
 	Name  string // as the client calls it; no two under way share one
 	Class string
+	At    string // the server that already has it open, if Open
 }
 
 // Link is an application server's side of a transaction, once it is up.
@@ -196,9 +197,7 @@
 	// No client of a class waits longer than that class; one that says so would
 	// hold its place for as long as it likes.
 	ask.GiveUp = min(ask.GiveUp, now+c.patience(ask.Ask.Class))
-	t := &transaction{
-		core: c, x: x, ticket: balance.NewTicket(ask.Ask), resumed: ask.Open, at: ask.At, number: number,
-	}
+	t := &transaction{core: c, x: x, ask: ask, ticket: balance.NewTicket(ask.Ask), number: number}
 	defer c.Transactions.Remove(t.number)
 	t.trace = c.observer.Began(ask)
 	end := t.run(ctx)
@@ -217,15 +216,14 @@
 
 // transaction is one that is under way.
 type transaction struct {
-	core    *Core
-	x       Exchange
-	ticket  *balance.Ticket
-	number  uint64
-	resumed bool // it is open at a server since before the relay's start
-	at      balance.ServerID
-	pass    *pass
-	trace   Trace
-	ctx     context.Context // ends when the client leaves
+	core   *Core
+	x      Exchange
+	ask    Ask
+	ticket *balance.Ticket
+	number uint64
+	pass   *pass
+	trace  Trace
+	ctx    context.Context // ends when the client leaves
 }
 
 // pass is a proxy pass that is out, or the connection that it became.
@@ -259,13 +257,13 @@
 func (t *transaction) run(ctx context.Context) memory.End {
 	c := t.core
 	t.ctx = ctx
-	if t.resumed && !t.resume(ctx) {
+	if t.ask.Open && !t.resume(ctx) {
 		t.x.Unavailable(0)
 		return memory.Unavailable
 	}
 	waiting, answer := context.WithCancel(ctx)
 	defer answer()
-	if !t.resumed {
+	if !t.ask.Open {
 		defer context.AfterFunc(c.closing, answer)()
 	}
 	for {
@@ -312,6 +310,10 @@
 const (
 	resumeWait  = 20 * time.Second       // a connection from before the start may take this long to be up again
 	resumePause = 100 * time.Millisecond // between two passes for it
+
+	// One whose server no list has named, or that its server doesn't know, may be a
+	// bad client's, which is owed a word within 3 s.
+	resumeDoubt = 2 * time.Second
 )
 
 // resume takes up a connection that was open before the relay's start: at that
@@ -321,10 +323,22 @@
 func (t *transaction) resume(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, resumeWait)
 	defer cancel()
+	doubt := time.AfterFunc(resumeDoubt, cancel)
+	defer doubt.Stop()
+	if len(t.core.Farm.List()) == 0 {
+		doubt.Stop() // the list itself is still to come
+	}
 	for {
-		if to, ok := t.core.Farm.Find(t.at); ok {
+		id, named := t.core.Farm.Lookup(t.ask.At)
+		if to, ok := t.core.Farm.Find(id); named && ok {
 			t.core.Transactions.Set(t.number, memory.Out, to.ID)
-			if link, how := t.attempt(ctx, to, resumeWait); how == balance.OK {
+			link, how := t.attempt(ctx, to, resumeWait)
+			if how != balance.Error {
+				doubt.Stop() // it may yet come up
+			}
+			if how == balance.OK {
+				t.ask.Ask.At = id
+				t.ticket = balance.NewTicket(t.ask.Ask)
 				t.launch(t.ctx, func(ctx context.Context, p *pass) balance.Status {
 					return t.join(ctx, p, to, link)
 				})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -186,7 +186,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			k.Serve(context.Background(), Ask{Ask: balance.Ask{Open: true, At: k.Farm.ID("s-1")}}, x)
+			k.Serve(context.Background(), Ask{At: "s-1", Ask: balance.Ask{Open: true}}, x)
 		}()
 		synctest.Wait()
 		if all := k.Transactions.List(); len(all) != 1 || all[0].Server != k.Farm.ID("s-1") || all[0].Stage != memory.Open {
@@ -199,15 +199,34 @@
 			late.acts = always(act{how: balance.OK})
 			return act{how: balance.ConnectFailed}
 		}
-		k.Serve(context.Background(), Ask{Ask: balance.Ask{Open: true, At: k.Farm.ID("s-4")}}, late)
+		k.Serve(context.Background(), Ask{At: "s-4", Ask: balance.Ask{Open: true}}, late)
 		none := &fake{t: t, k: k}
-		k.Serve(context.Background(), Ask{Ask: balance.Ask{Open: true, At: k.Farm.ID("s-9")}}, none)
+		k.Serve(context.Background(), Ask{At: "s-9", Ask: balance.Ask{Open: true}}, none)
 		if got := fmt.Sprint(x.answers, late.answers, none.answers); got != "[up] [up] [unavailable]" {
 			t.Errorf("the clients have been told %v", got)
 		}
 	})
 }
 
+// A client that names a server which no list knows, or one that doesn't know it, is
+// told so within 3 s, and leaves nothing behind in the farm.
+func TestResumingWhatIsNotOpenEndsSoon(t *testing.T) {
+	bench(t, 1, func(k *Core, _ func(int, balance.State)) {
+		known := len(k.Farm.List())
+		for _, at := range []string{"s-0", "s-77", "an odd name"} {
+			x := &fake{t: t, k: k, acts: always(act{how: balance.Error})}
+			began := k.Clock.Now()
+			k.Serve(context.Background(), Ask{At: at, Ask: balance.Ask{Open: true}}, x)
+			if took := k.Clock.Now() - began; took > 3*time.Second || fmt.Sprint(x.answers) != "[unavailable]" {
+				t.Errorf("at %s: after %v the client has been told %v", at, took, x.answers)
+			}
+		}
+		if n := len(k.Farm.List()); n != known {
+			t.Errorf("the farm has grown from %d to %d", known, n)
+		}
+	})
+}
+
 // A module may move a client in the turn after it stands: the move must not
 // overtake the word that it is up, which reads as a failure.
 func TestMoveFollowsTheWordThatItIsUp(t *testing.T) {
--- a/internal/memory/farm.go
+++ b/internal/memory/farm.go
@@ -67,6 +67,15 @@
 	return id
 }
 
+// Lookup returns the number of a server that has one. What clients name makes no
+// entry: those would pile up with every odd name.
+func (f *Farm) Lookup(name string) (balance.ServerID, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id, ok := f.names[name]
+	return id, ok
+}
+
 // Update takes a line of the list. A server that drains or is gone is leaving
 // at once, also for passes about to go out.
 func (f *Farm) Update(id balance.ServerID, address string, phase Phase) {
--- a/internal/spoken/line/front.go
+++ b/internal/spoken/line/front.go
@@ -116,13 +116,10 @@
 }
 
 func (f *Front) open(ctx context.Context, c *client, o opening, class int) {
-	ask := core.Ask{Front: "line", Name: o.id, Class: o.class, Ask: balance.Ask{
+	ask := core.Ask{Front: "line", Name: o.id, Class: o.class, At: o.at, Ask: balance.Ask{
 		Class: class, Item: o.item, Group: o.group, Load: o.load, Return: o.back,
 		GiveUp: f.Core.Clock.Now() + o.wait, Open: o.at != "",
 	}}
-	if ask.Open {
-		ask.At = f.Core.Farm.ID(o.at)
-	}
 	ctx, left := context.WithCancel(ctx)
 	defer left()
 	x := &exchange{front: f, client: c, opening: o, joined: make(chan joint, 1)}
