Tell a client that no seat is free for when to come again

Seen in reading: the line front's BUSY for lack of a place carried no time, and the AMQP front's detach no come-back-ms, while every other unavailable answer has the module's advice. Clients that are told nothing come again as soon as they like. Checked by the suite that runs through both fronts: "no seat is free" fails on both without the change. Now: the facade's Advise asks the Balancer in its turn; Core.ComeBack hands it to the fronts.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -377,6 +377,12 @@
 	return soonest
 }
 
+// Advice is when a client should come again that the relay has no place for.
+func (b *Balancer) Advice(now time.Duration) time.Duration {
+	b.now = now
+	return b.comeBack(&request{})
+}
+
 // end gives the final answer. A refusal says that trying again is harmless.
 func (b *Balancer) end(q *request) {
 	ran := q.mayRun || q.at != nil
--- a/balance/facade.go
+++ b/balance/facade.go
@@ -111,7 +111,7 @@
 // Facade drives one Balancer.
 type Facade struct {
 	b       *Balancer
-	mailbox chan any // a *Ticket that begins, or News
+	mailbox chan any // a *Ticket that begins, an advice asked for, or News
 	wakeup  chan struct{}
 	tickets map[RequestID]*Ticket
 	timers  timerHeap
@@ -155,6 +155,23 @@
 	}
 }
 
+// advice is a question that no ticket stands for.
+type advice struct{ answer chan time.Duration }
+
+// Advise returns when a client should come again that there is no place for; 0 if
+// ctx or the turns end first.
+func (f *Facade) Advise(ctx context.Context) time.Duration {
+	a := advice{make(chan time.Duration, 1)}
+	f.post(a)
+	select {
+	case wait := <-a.answer:
+		return wait
+	case <-ctx.Done():
+	case <-f.done:
+	}
+	return 0
+}
+
 // Report tells what has happened. It takes effect in the next turn.
 func (f *Facade) Report(n News) { f.post(n) }
 
@@ -200,6 +217,8 @@
 	switch m := mail.(type) {
 	case *Ticket:
 		f.begin(m)
+	case advice:
+		m.answer <- f.b.Advice(f.now)
 	case Stands:
 		if t := m.Ticket; !t.over {
 			f.handle(Standing{Request: t.id, Server: t.at, Took: m.Took})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -146,6 +146,9 @@
 	errLeave  = errors.New("the relay is leaving")
 )
 
+// ComeBack is when a client should come again that a front has no place for.
+func (c *Core) ComeBack(ctx context.Context) time.Duration { return c.facade.Advise(ctx) }
+
 // MoveAll has every transaction that stands, and every one that will, sent away:
 // one after another over a time, lest those who take them in are swamped.
 func (c *Core) MoveAll(over time.Duration) {
--- a/internal/spoken/amqp/both_test.go
+++ b/internal/spoken/amqp/both_test.go
@@ -90,7 +90,7 @@
 // wire is one of the two ways to speak.
 type wire struct {
 	name  string
-	front func(k *core.Core) server
+	front func(k *core.Core, seats int) server
 	// server answers one connection to an application server.
 	server func(t *testing.T, c *net.TCPConn, s *script)
 	// open begins a transaction of a name and waits for its answer; the client
@@ -105,12 +105,12 @@
 }
 
 var wires = []wire{
-	{name: "line", front: func(k *core.Core) server {
-		return &line.Front{Core: k, Classes: []string{"page"}, Hall: &spoken.Hall{Seats: 64, Waiting: 64}}
+	{name: "line", front: func(k *core.Core, seats int) server {
+		return &line.Front{Core: k, Classes: []string{"page"}, Hall: &spoken.Hall{Seats: seats, Waiting: 64}}
 	}, server: lineServer, open: lineOpen, hasty: lineHasty,
 		slow: []string{"PING\r\n", "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=", "p"}, endless: "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c="},
-	{name: "amqp", front: func(k *core.Core) server {
-		return &Front{Core: k, Classes: []string{"page"}, Hall: &spoken.Hall{Seats: 64, Waiting: 64}}
+	{name: "amqp", front: func(k *core.Core, seats int) server {
+		return &Front{Core: k, Classes: []string{"page"}, Hall: &spoken.Hall{Seats: seats, Waiting: 64}}
 	}, server: amqpServer, open: amqpOpen, hasty: amqpHasty,
 		slow: []string{string(headerAMQP[:]), "\x00\x00\x10\x00\x02\x00\x00\x00", "p"}, endless: string(headerAMQP[:]) + "\x7f\xff\xff\xff\x02\x00\x00\x00"},
 }
@@ -392,6 +392,10 @@
 }
 
 func newRig(t *testing.T, w wire, servers int, acts []behaviour) *rig {
+	return newSeatedRig(t, w, servers, acts, 64)
+}
+
+func newSeatedRig(t *testing.T, w wire, servers int, acts []behaviour, seats int) *rig {
 	t.Helper()
 	set := balance.Settings{
 		Classes:     []balance.Class{{Aim: 200 * time.Millisecond, Deadline: patience}},
@@ -418,7 +422,7 @@
 	l := listen(t)
 	r.address = l.Addr().String()
 	all.Go(func() { r.core.Run(ctx) })
-	all.Go(func() { w.front(r.core).Serve(ctx, l) })
+	all.Go(func() { w.front(r.core, seats).Serve(ctx, l) })
 	t.Cleanup(func() {
 		l.Close()
 		cancel()
@@ -601,6 +605,16 @@
 				return verdict{seen: v.seen} // a pass may have gone out, or not
 			},
 			verdict{[]seen{{"failed", false, ""}}, "", 0}},
+		{"no seat is free", 1, []behaviour{accept},
+			func(t *testing.T, r *rig, w wire) verdict {
+				var late seen
+				first := one(t, r, w, patience, func() {
+					late = one(t, r, w, patience, nil)
+					r.core.MoveAll(time.Millisecond)
+				})
+				return r.settled(t, late, first)
+			},
+			verdict{[]seen{{"unavailable", true, ""}, {"up", false, "moved"}}, "cancelled=1", 1}},
 		{"a crowd that never comes to its point", 1, []behaviour{bye}, rudeCrowd,
 			verdict{[]seen{{"up", false, "ended"}}, "ok=1", 1}},
 		{"a client that says it waits for hours", 1, []behaviour{hang},
@@ -620,7 +634,11 @@
 			for _, w := range wires {
 				t.Run(w.name, func(t *testing.T) {
 					t.Parallel()
-					r := newRig(t, w, c.servers, c.acts)
+					seats := 64
+					if c.name == "no seat is free" {
+						seats = 1
+					}
+					r := newSeatedRig(t, w, c.servers, c.acts, seats)
 					run := c.run
 					if run == nil {
 						run = func(t *testing.T, r *rig, w wire) verdict {
--- a/internal/spoken/amqp/front.go
+++ b/internal/spoken/amqp/front.go
@@ -336,11 +336,11 @@
 	ask, err := front.ask(p, s.client.name+"/"+name)
 	if err != nil {
 		front.Core.Counters.BadLines.Add(1)
-		s.refuse(l, condInvalid, err.Error())
+		s.refuse(l, condInvalid, err.Error(), nil)
 		return nil
 	}
 	if !s.client.guest.Sit() {
-		s.refuse(l, condLimit, "the relay holds as many links as it may")
+		s.refuse(l, condLimit, "the relay holds as many links as it may", comeBackInfo(front.Core.ComeBack(s.client.ctx)))
 		return nil
 	}
 	ctx, left := context.WithCancel(s.client.ctx)
@@ -357,8 +357,8 @@
 // refuse answers an attach that never becomes a transaction. What is kept of it,
 // until the client detaches, is next to nothing: refused links could else be had
 // by the hundred at 8 KiB each.
-func (s *clientSession) refuse(l *link, cond, why string) {
-	l.detach(cond, why, nil)
+func (s *clientSession) refuse(l *link, cond, why string, info mapping) {
+	l.detach(cond, why, info)
 	s.links[l.handle] = &link{front: l.front, session: l.session, handle: l.handle, sends: l.sends, ids: l.ids, detached: true}
 }
 
--- a/internal/spoken/amqp/link.go
+++ b/internal/spoken/amqp/link.go
@@ -317,11 +317,15 @@
 
 // Unavailable answers that trying again is harmless.
 func (l *link) Unavailable(comeBack time.Duration) {
-	var info mapping
-	if comeBack >= time.Millisecond {
-		info = info.with(infoBack, uint32(comeBack.Milliseconds()))
+	l.detach(condLimit, "no application server takes it", comeBackInfo(comeBack))
+}
+
+// comeBackInfo says when to come again, if that is known.
+func comeBackInfo(wait time.Duration) (info mapping) {
+	if wait >= time.Millisecond {
+		info = info.with(infoBack, uint32(wait.Milliseconds()))
 	}
-	l.detach(condLimit, "no application server takes it", info)
+	return info
 }
 
 // Failed answers what promises nothing.
--- a/internal/spoken/line/front.go
+++ b/internal/spoken/line/front.go
@@ -79,7 +79,7 @@
 			return
 		}
 		if !g.Sit() {
-			f.turnAway(c)
+			f.turnAway(ctx, c)
 			return
 		}
 		c.SetReadDeadline(time.Time{})
@@ -109,8 +109,8 @@
 
 // turnAway answers a client that no seat is free for. Its opening has been read:
 // closing with it unread would reset the connection, and lose the answer.
-func (f *Front) turnAway(c *client) {
-	c.end(busy(0))
+func (f *Front) turnAway(ctx context.Context, c *client) {
+	c.end(busy(f.Core.ComeBack(ctx)))
 	go c.drain()
 	c.finish()
 }
--- a/internal/spoken/line/front_test.go
+++ b/internal/spoken/line/front_test.go
@@ -202,7 +202,7 @@
 	s.open()
 	client := s.client()
 	client.say("OPEN a1 7f3a9c21e0b4d655 c=page,d=4000\r\n")
-	client.want("BUSY\r\n")
+	client.want("BUSY 100\r\n") // the module's advice where a server takes work
 	client.wantEnd(false)
 }
 
