Fill cold servers by the requests that each relay has, not by turns that go by unused

A relay had 1/80 of a cold server's part as a turn by chance in each 3 s, but a request only every 8 s, so most turns passed unused (turn and coldAllows in balance.go); what was left lost in the draw, as its weight falls with the fifth power of the warmth.

Change: a relay whose part is under one sends that part of its requests, counted over 30 s, to the cold server, outright. The least that a cold server is held to bear is raised for relays that see too little of it to tell; one relay is granted no more than before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -62,6 +62,9 @@
 
 	rateMemory = 10 * time.Second // over which accepted set-ups are counted
 	coldPart   = 0.6              // part used of what would push a cold server over
+	coldLeast  = 6.0              // set-ups that warm servers bear in that time, by size, where few are seen
+	coldMost   = 0.25             // of which one relay is granted no more
+	paceMemory = 30 * time.Second // over which this relay's own requests are counted
 )
 
 // Balancer decides for one relay. It is not safe for concurrent use.
@@ -80,6 +83,7 @@
 	window   window
 	list     listReader
 	salt     uint64 // sets this relay apart from others
+	pace     fading // requests that servers were looked for, by this relay
 	seen     observer
 }
 
@@ -96,6 +100,7 @@
 		leaving:  make(map[uint32]*server),
 		routes:   routes{size: cacheSize, at: make(map[uint64]int)},
 		fleet:    fleet{recent: fading{over: rateMemory}},
+		pace:     fading{over: paceMemory},
 		window:   window{size: windowMax, sharedUntil: math.MinInt64},
 		list:     listReader{readAt: math.MinInt64},
 	}
@@ -104,7 +109,7 @@
 // Handle takes an event at the relay's clock and returns what to do, in order.
 // The slice is valid until the next call.
 func (b *Balancer) Handle(now time.Duration, ev Event) []Action {
-	b.now, b.out, b.fleet.summed = now, b.out[:0], false
+	b.now, b.out, b.fleet.summed, b.pace.from = now, b.out[:0], false, cmp.Or(b.pace.from, now)
 	switch ev := ev.(type) {
 	case ServerList:
 		b.listArrived(ev)
@@ -135,15 +140,6 @@
 	return b.out
 }
 
-func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
-
-// wake asks for a timer of a request, or of the list where q is nil.
-func (b *Balancer) wake(q *request, after time.Duration) {
-	b.token++
-	b.timers[b.token] = q
-	b.do(SetTimer{Token: b.token, After: after})
-}
-
 func (b *Balancer) timerFired(token uint32) {
 	q, ok := b.timers[token]
 	s := b.leaving[token]
@@ -292,15 +288,6 @@
 	b.stand(q)
 }
 
-// stand books a connection that is up and writes its group's route.
-func (b *Balancer) stand(q *request) {
-	q.up = true
-	if q.at != nil {
-		b.routes.put(q.key(), q.at.ID, b.now+cacheLife)
-		b.fleet.book(q)
-	}
-}
-
 func (b *Balancer) ended(ev Outcome) {
 	q := b.requests[ev.Request]
 	if q == nil || q.at == nil && !ev.Done && !q.up {
@@ -403,17 +390,6 @@
 	b.forget(q)
 }
 
-// forget drops a request that is over, with its connection or attempt.
-func (b *Balancer) forget(q *request) {
-	q.over = true
-	if q.at != nil && q.up {
-		q.at.remove(q)
-	} else if q.at != nil {
-		b.window.out--
-	}
-	delete(b.requests, q.ID)
-}
-
 // The choice of a server.
 
 // pick chooses the server of the next attempt, or none, and tells why.
@@ -436,6 +412,10 @@
 // the next slow.
 func (b *Balancer) draw(q *request) *server {
 	load, size, _, slow := b.totals()
+	b.paced(q)
+	if s := b.coldTurn(q); s != nil {
+		return s
+	}
 	var best *server
 	least := math.Inf(1)
 	near := b.sift(q.key(), load/size) // of a large fleet most can't be the least
@@ -455,7 +435,7 @@
 // usable tells whether a server may be sent a request at all.
 func (b *Balancer) usable(q *request, s *server) bool {
 	return s.State == Ready && (s.awayAt == 0 || b.now >= s.awayAt+awayFor) && q.mayUse(s) &&
-		!slices.Contains(q.tried, s.ID) && b.coldAllows(s)
+		!slices.Contains(q.tried, s.ID) && b.coldAllows(q, s)
 }
 
 // drawWeight is the controller's weight by size, warmth, zone and load. The load
@@ -524,10 +504,21 @@
 
 // mustWait guards against set-ups that keep slow servers slow: requests wait
 // while a server is slow or full, and lest they then come all at once, it is
-// eased into work. A group whose cached server is so is drawn anew first.
+// eased into work: relays that know nothing of each other get turns by chance. A
+// group whose cached server is so is drawn anew first.
 func (b *Balancer) mustWait(s *server) bool {
-	return s.slowAt(b.now) || s.lastSlow > 0 && b.now < s.lastSlow+easeFor &&
-		!b.turn(s, b.set.TipAfter.Seconds()/easeGap.Seconds()/float64(b.set.Relays))
+	if s.lastSlow == 0 || b.now >= s.lastSlow+easeFor {
+		return false
+	}
+	span := b.set.TipAfter
+	n := span.Seconds() / easeGap.Seconds() / float64(b.set.Relays)
+	return s.slowAt(b.now) || !b.rested(s, n) || uniform(b.salt+uint64(b.now/span), s.ID) >= n
+}
+
+// rested tells whether n set-ups within the time that pushes a cold server over allow
+// one more to a server now.
+func (b *Balancer) rested(s *server, n float64) bool {
+	return float64(b.now-max(s.lastSent, s.Born)) >= float64(b.set.TipAfter)/max(1, n)
 }
 
 // relieve moves n of a server's connections away: small groups first and whole,
@@ -615,30 +606,39 @@
 	return b.set.ColdShare + (1-b.set.ColdShare)*age
 }
 
-// coldAllows keeps rule 4: within the time in which a cold server could fall
-// over it gets, from all relays together, part of the new connections that warm
-// servers of its size bear, less what it is cold; one at the least. A relay
-// whose part is less than one gets its turn by chance: relays that watch the
-// same birth would all be free to send at the same age.
-func (b *Balancer) coldAllows(s *server) bool {
-	warmth := b.warmth(s)
-	if warmth >= 1 {
+// coldAllows keeps rule 4: within the time in which a cold server could fall over it
+// gets, from all relays together, part of the new connections that warm servers of
+// its size bear, less what it is cold. A relay whose part is less than one sends that
+// part of its requests: relays that watch the same birth would all be free to send
+// at the same age, and turns by time go by unused at a relay with few requests.
+func (b *Balancer) coldAllows(q *request, s *server) bool {
+	if b.warmth(s) >= 1 {
 		return true
 	}
+	n, span := b.coldPart(s), b.set.TipAfter
+	return b.rested(s, n) && (n >= 1 ||
+		uniform(b.salt+uint64(q.ID)+uint64(b.now/span), s.ID) < n/b.pace.within(b.now, span))
+}
+
+// coldPart is this relay's part of what a cold server may be sent.
+func (b *Balancer) coldPart(s *server) float64 {
 	if _, _, warm, _ := b.totals(); warm > 0 {
 		b.fleet.perSize = b.fleet.recent.at(b.now) / rateMemory.Seconds() / warm
 	}
-	n := b.fleet.perSize * s.size() * b.set.TipAfter.Seconds() * b.set.TipMultiple * coldPart
-	return b.turn(s, warmth*max(1/float64(b.set.Relays), n))
+	n, r := b.fleet.perSize*b.set.TipAfter.Seconds()*b.set.TipMultiple*coldPart, float64(b.set.Relays)
+	return b.warmth(s) * s.size() * max(1/r, min(coldMost, coldLeast/r), n)
 }
 
-// turn shares a server among relays that know nothing of each other, where this
-// one may send it n set-ups within the time that pushes a cold server over. If n
-// is under one, it gets its turn by chance.
-func (b *Balancer) turn(s *server, n float64) bool {
-	span := b.set.TipAfter
-	return float64(b.now-max(s.lastSent, s.Born)) >= float64(span)/max(1, n) &&
-		uniform(b.salt+uint64(b.now/span), s.ID) < n
+// coldTurn guards against cold servers that stay empty behind many relays: where a
+// relay's part is less than one, a turn left to the draw's weights is mostly lost.
+func (b *Balancer) coldTurn(q *request) (best *server) {
+	for s := range b.fleet.cold(b.now, b.set.ColdFor) {
+		if b.coldPart(s) < 1 && b.usable(q, s) && !s.slowAt(b.now) &&
+			(best == nil || uniform(b.salt, s.ID) < uniform(b.salt, best.ID)) {
+			best = s
+		}
+	}
+	return best
 }
 
 // The server list.
--- a/balance/sieve_test.go
+++ b/balance/sieve_test.go
@@ -13,6 +13,9 @@
 // looked at, and all sums are made anew.
 func (b *Balancer) plainDraw(q *request) *server {
 	load, size, _, slow := b.added(b.fleet.servers)
+	if s := b.coldTurn(q); s != nil {
+		return s
+	}
 	var best *server
 	least := math.Inf(1)
 	for _, s := range b.fleet.servers {
--- a/balance/state.go
+++ b/balance/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -24,6 +25,7 @@
 	listUntil time.Duration // waits for a list until then
 	load      float64       // booked at its server
 	slot      int           // its place among the server's connections
+	span      time.Duration // in which it was last counted in the pace; 0 if never
 
 	mayRun   bool // an attempt may have run, sent at ranSince to a server of ranZone and ranCell
 	ranSince time.Duration
@@ -102,6 +104,44 @@
 	s.load -= q.load
 }
 
+func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
+
+// wake asks for a timer of a request, or of the list where q is nil.
+func (b *Balancer) wake(q *request, after time.Duration) {
+	b.token++
+	b.timers[b.token] = q
+	b.do(SetTimer{Token: b.token, After: after})
+}
+
+// stand books a connection that is up and writes its group's route.
+func (b *Balancer) stand(q *request) {
+	q.up = true
+	if q.at != nil {
+		b.routes.put(q.key(), q.at.ID, b.now+cacheLife)
+		b.fleet.book(q)
+	}
+}
+
+// paced counts a request that a server is drawn for: once in the time in which a cold
+// server could fall over, as it gets one chance at each in that.
+func (b *Balancer) paced(q *request) {
+	if span := 1 + b.now/b.set.TipAfter; q.span != span {
+		q.span = span
+		b.pace.add(b.now)
+	}
+}
+
+// forget drops a request that is over, with its connection or attempt.
+func (b *Balancer) forget(q *request) {
+	q.over = true
+	if q.at != nil && q.up {
+		q.at.remove(q)
+	} else if q.at != nil {
+		b.window.out--
+	}
+	delete(b.requests, q.ID)
+}
+
 // fleet holds the servers in order of their IDs.
 type fleet struct {
 	servers []*server
@@ -119,6 +159,21 @@
 	sieve   sieve // of the draw at hand
 }
 
+// cold yields the ready servers that have started within a time.
+func (f *fleet) cold(now, within time.Duration) iter.Seq[*server] {
+	servers := f.servers
+	if len(servers) >= largeFleet && f.sure {
+		servers = f.odd
+	}
+	return func(yield func(*server) bool) {
+		for _, s := range servers {
+			if s.State == Ready && s.Born > 0 && now < s.Born+within && !yield(s) {
+				return
+			}
+		}
+	}
+}
+
 // marks are what is worked out while a decision is made. Only decisions may change
 // them: who looks on puts them back, so that all comes as it would have without.
 type marks struct {
@@ -336,12 +391,20 @@
 	over  time.Duration
 	count float64
 	since time.Duration
+	from  time.Duration // counted from then on, where that is asked; 0 if nothing was yet
 }
 
 func (f *fading) at(now time.Duration) float64 {
 	return f.count * math.Exp(-float64(now-f.since)/float64(f.over))
 }
 
+// within is how many of them fall within a time, in the mean since from. Without its
+// correction a count that has just begun is far too low.
+func (f *fading) within(now, span time.Duration) float64 {
+	seen := 1 - math.Exp(-float64(max(now-f.from, span))/float64(f.over))
+	return max(1e-3, f.at(now)/seen*float64(span)/float64(f.over))
+}
+
 func (f *fading) add(now time.Duration) { f.count, f.since = f.at(now)+1, now }
 
 // window limits the set-ups under way, as the controller limits a server.
--- a/balance/why.go
+++ b/balance/why.go
@@ -274,7 +274,7 @@
 	set(BarAway, s.State != Ready || s.awayAt > 0 && b.now < s.awayAt+awayFor)
 	set(BarTried, slices.Contains(q.tried, s.ID))
 	set(BarScope, !q.mayUse(s))
-	set(BarCold, s.State == Ready && !b.coldAllows(s))
+	set(BarCold, s.State == Ready && !b.coldAllows(q, s))
 	set(BarSlow, s.slowAt(b.now))
 	set(BarEased, !s.slowAt(b.now) && b.mustWait(s))
 	set(BarFull, b.spare(s) <= spareFull)
