Let relays of a large fleet prefer their own zone less, as zones split groups

Relays of four zones draw by one key, but the preference of the own zone by four (drawWeight in balance.go) gives a group a home in each zone.

Change: the preference falls from eight relays on.

The new test fails without the change.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,6 +35,7 @@
 	cutPause    = 900 * time.Millisecond // least time between two reliefs of a slow server
 
 	ownZone   = 4.0 // by which servers of the own zone are preferred where crossing has a price
+	fewRelays = 8.0 // of more relays each prefers its own zone less, as zones would split groups
 	crowding  = 4.0 // power of the draw's weight falling with what is already placed
 	groupCost = 2.0 // what a server pays for a group, in mean connections
 	loadMost  = 20  // one connection counts as this many mean ones at the most
@@ -443,7 +444,7 @@
 func (b *Balancer) drawWeight(s *server, meanLoad float64) float64 {
 	w := s.weightAt(b.now) * s.size() * b.warmth(s) * b.spare(s)
 	if b.set.CrossZoneCost > 0 && s.Zone == b.set.Zone {
-		w *= ownZone
+		w *= 1 + (ownZone-1)*min(1, fewRelays/float64(b.set.Relays))
 	}
 	if meanLoad > 0 {
 		w /= math.Pow(1+(s.demand()+1)/s.size()/b.warmth(s)/meanLoad, crowding)
@@ -515,8 +516,7 @@
 	return s.slowAt(b.now) || !b.rested(s, n) || uniform(b.salt+uint64(b.now/span), s.ID) >= n
 }
 
-// rested tells whether n set-ups within the time that pushes a cold server over allow
-// one more to a server now.
+// rested tells whether n set-ups within the time of rule 4 allow one more now.
 func (b *Balancer) rested(s *server, n float64) bool {
 	return float64(b.now-max(s.lastSent, s.Born)) >= float64(b.set.TipAfter)/max(1, n)
 }
--- a/balance/path_test.go
+++ b/balance/path_test.go
@@ -152,6 +152,34 @@
 	}
 }
 
+// Many relays of four zones draw nearly alike: what each prefers of its own zone made a
+// group be paid for by a server in every zone.
+func TestZonesOfManyRelaysDoNotSplitGroups(t *testing.T) {
+	s := testSettings()
+	s.CrossZoneCost = 0.03
+	servers := ready(12)
+	for i := range servers {
+		servers[i].Zone = i % 4
+	}
+	spread := func(relays int) (mean float64) {
+		const groups = 50
+		for group := range uint64(groups) {
+			used := map[ServerID]bool{}
+			for s.Zone = range 4 {
+				s.Relays = relays
+				r := newRelay(t, s, servers...)
+				_, to := r.open(1 + group)
+				used[to] = true
+			}
+			mean += float64(len(used)) / groups
+		}
+		return mean
+	}
+	if few, many := spread(4), spread(80); few < 2 || many > 1.5 {
+		t.Errorf("a group is on %.2f servers behind 4 relays, on %.2f behind 80; more than 2 and less than 1.5 are wanted", few, many)
+	}
+}
+
 func TestControllerStaysBetweenFloorAndCeiling(t *testing.T) {
 	s := &server{weight: weightStart}
 	for range 100 {
