Leave cold servers behind few relays to the turns they had

Change: up to eight relays decide as before the large fleet, event by event; coldAllows, coldPart and coldTurn take the other path only beyond. New moves to state.go, unchanged.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,7 +35,7 @@
 	cutPause    = 900 * time.Millisecond // least time between two reliefs of a slow server
 
 	ownZone   = 4.0 // by which servers of the own zone are preferred where crossing has a price
-	fewRelays = 8.0 // of more relays each prefers its own zone less, as zones would split groups
+	fewRelays = 8   // more share nothing and see little each; they prefer their own zone less
 	crowding  = 4.0 // power of the draw's weight falling with what is already placed
 	groupCost = 2.0 // what a server pays for a group, in mean connections
 	loadMost  = 20  // one connection counts as this many mean ones at the most
@@ -64,7 +64,6 @@
 	rateMemory = 10 * time.Second // over which accepted set-ups are counted
 	coldPart   = 0.6              // part used of what would push a cold server over
 	coldLeast  = 6.0              // set-ups that warm servers bear in that time, by size, where few are seen
-	coldMost   = 0.25             // of which one relay is granted no more
 	paceMemory = 30 * time.Second // over which this relay's own requests are counted
 )
 
@@ -88,25 +87,6 @@
 	seen     observer
 }
 
-// New returns a Balancer that has just started. Equal settings, seeds and
-// events give equal actions.
-func New(s Settings, seed uint64) *Balancer {
-	return &Balancer{
-		set:      s,
-		aim:      s.shortestAim(),
-		salt:     rand.NewPCG(seed, 1).Uint64(),
-		rng:      rand.New(rand.NewPCG(seed, 0)),
-		requests: make(map[RequestID]*request),
-		timers:   make(map[uint32]*request),
-		leaving:  make(map[uint32]*server),
-		routes:   routes{size: cacheSize, at: make(map[uint64]int)},
-		fleet:    fleet{recent: fading{over: rateMemory}},
-		pace:     fading{over: paceMemory},
-		window:   window{size: windowMax, sharedUntil: math.MinInt64},
-		list:     listReader{readAt: math.MinInt64},
-	}
-}
-
 // Handle takes an event at the relay's clock and returns what to do, in order.
 // The slice is valid until the next call.
 func (b *Balancer) Handle(now time.Duration, ev Event) []Action {
@@ -505,18 +485,21 @@
 
 // mustWait guards against set-ups that keep slow servers slow: requests wait
 // while a server is slow or full, and lest they then come all at once, it is
-// eased into work: relays that know nothing of each other get turns by chance. A
-// group whose cached server is so is drawn anew first.
+// eased into work. A group whose cached server is so is drawn anew first.
 func (b *Balancer) mustWait(s *server) bool {
 	if s.lastSlow == 0 || b.now >= s.lastSlow+easeFor {
 		return false
 	}
-	span := b.set.TipAfter
-	n := span.Seconds() / easeGap.Seconds() / float64(b.set.Relays)
-	return s.slowAt(b.now) || !b.rested(s, n) || uniform(b.salt+uint64(b.now/span), s.ID) >= n
+	return s.slowAt(b.now) || !b.turn(s, b.set.TipAfter.Seconds()/easeGap.Seconds()/float64(b.set.Relays))
+}
+
+// turn shares a server among relays that know nothing of each other, where this
+// one may send it n set-ups within the time that pushes a cold server over. If n
+// is under one, it gets its turn by chance.
+func (b *Balancer) turn(s *server, n float64) bool {
+	return b.rested(s, n) && uniform(b.salt+uint64(b.now/b.set.TipAfter), s.ID) < n
 }
 
-// rested tells whether n set-ups within the time of rule 4 allow one more now.
 func (b *Balancer) rested(s *server, n float64) bool {
 	return float64(b.now-max(s.lastSent, s.Born)) >= float64(b.set.TipAfter)/max(1, n)
 }
@@ -608,32 +591,39 @@
 
 // coldAllows keeps rule 4: within the time in which a cold server could fall over it
 // gets, from all relays together, part of the new connections that warm servers of
-// its size bear, less what it is cold. A relay whose part is less than one sends that
-// part of its requests: relays that watch the same birth would all be free to send
-// at the same age, and turns by time go by unused at a relay with few requests.
+// its size bear, less what it is cold. Of many relays each sends its part of its
+// requests: turns by chance go by unused where requests are few.
 func (b *Balancer) coldAllows(q *request, s *server) bool {
 	if b.warmth(s) >= 1 {
 		return true
 	}
 	n, span := b.coldPart(s), b.set.TipAfter
-	return b.rested(s, n) && (n >= 1 ||
-		uniform(b.salt+uint64(q.ID)+uint64(b.now/span), s.ID) < n/b.pace.within(b.now, span))
+	if b.set.Relays <= fewRelays || n >= 1 {
+		return b.turn(s, n)
+	}
+	return b.rested(s, n) &&
+		uniform(b.salt+uint64(q.ID)+uint64(b.now/span), s.ID) < n/b.pace.within(b.now, span)
 }
 
-// coldPart is this relay's part of what a cold server may be sent.
+// coldPart is this relay's part of what a cold server may be sent. Many relays see
+// too few set-ups to tell what servers bear.
 func (b *Balancer) coldPart(s *server) float64 {
 	if _, _, warm, _ := b.totals(); warm > 0 {
 		b.fleet.perSize = b.fleet.recent.at(b.now) / rateMemory.Seconds() / warm
 	}
-	n, r := b.fleet.perSize*b.set.TipAfter.Seconds()*b.set.TipMultiple*coldPart, float64(b.set.Relays)
-	return b.warmth(s) * s.size() * max(1/r, min(coldMost, coldLeast/r), n)
+	least := 1 / float64(b.set.Relays)
+	if b.set.Relays > fewRelays {
+		least *= s.size() * coldLeast
+	}
+	n := b.fleet.perSize * s.size() * b.set.TipAfter.Seconds() * b.set.TipMultiple * coldPart
+	return b.warmth(s) * max(least, n)
 }
 
 // coldTurn guards against cold servers that stay empty behind many relays: where a
 // relay's part is less than one, a turn left to the draw's weights is mostly lost.
 func (b *Balancer) coldTurn(q *request) (best *server) {
 	for s := range b.fleet.cold(b.now, b.set.ColdFor) {
-		if b.coldPart(s) < 1 && b.usable(q, s) && !s.slowAt(b.now) &&
+		if b.set.Relays > fewRelays && b.coldPart(s) < 1 && b.usable(q, s) && !s.slowAt(b.now) &&
 			(best == nil || uniform(b.salt, s.ID) < uniform(b.salt, best.ID)) {
 			best = s
 		}
--- a/balance/state.go
+++ b/balance/state.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"iter"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -11,6 +12,25 @@
 // This file holds the records that the decisions in balance.go work on, and
 // their bookkeeping. Nothing is decided here.
 
+// New returns a Balancer that has just started. Equal settings, seeds and
+// events give equal actions.
+func New(s Settings, seed uint64) *Balancer {
+	return &Balancer{
+		set:      s,
+		aim:      s.shortestAim(),
+		salt:     rand.NewPCG(seed, 1).Uint64(),
+		rng:      rand.New(rand.NewPCG(seed, 0)),
+		requests: make(map[RequestID]*request),
+		timers:   make(map[uint32]*request),
+		leaving:  make(map[uint32]*server),
+		routes:   routes{size: cacheSize, at: make(map[uint64]int)},
+		fleet:    fleet{recent: fading{over: rateMemory}},
+		pace:     fading{over: paceMemory},
+		window:   window{size: windowMax, sharedUntil: math.MinInt64},
+		list:     listReader{readAt: math.MinInt64},
+	}
+}
+
 type request struct {
 	Request
 	class     *Class
