Hold idle relays to have more requests, lest a crowd all goes to new servers

Cause: a relay's part of a cold server's budget is a part of its usual requests, so a crowd of twenty times what is usual is sent to new servers at a multiple of the budget: in a test, 120 clients that come back within 2 s after a minute with one request a relay send 33 to eight servers that are 12 to 20% warm (uniform < n/pace in coldAllows).

Change: a relay counts as one with at least 0.4 requests in the time of rule 4.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -64,6 +64,7 @@
 	rateMemory = 10 * time.Second // over which accepted set-ups are counted
 	coldPart   = 0.6              // part used of what would push a cold server over
 	coldLeast  = 6.0              // set-ups that warm servers bear in that time, by size, where few are seen
+	paceLeast  = 0.4              // requests a relay is held to have in it, lest a crowd all goes there
 	paceMemory = 30 * time.Second // over which this relay's own requests are counted
 )
 
@@ -602,7 +603,7 @@
 		return b.turn(s, n)
 	}
 	return b.rested(s, n) &&
-		uniform(b.salt+uint64(q.ID)+uint64(b.now/span), s.ID) < n/b.pace.within(b.now, span)
+		uniform(b.salt+uint64(q.ID)+uint64(b.now/span), s.ID) < n/max(paceLeast, b.pace.within(b.now, span))
 }
 
 // coldPart is this relay's part of what a cold server may be sent. Many relays see
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -285,6 +285,58 @@
 	}
 }
 
+// Most servers are new at once, and more clients come back within two seconds than in a
+// minute before: what relays know of their usual requests must not have them all sent to
+// the servers that have just started.
+func TestCrowdDoesNotPushNewServersOver(t *testing.T) {
+	s := testSettings()
+	s.Relays, s.TipAfter, s.ColdShare = 80, 3*time.Second, 0.12
+	relays := make([]*relay, s.Relays)
+	for i := range relays {
+		relays[i] = newRelay(t, s)
+		relays[i].b = New(s, uint64(i)<<32+7)
+		relays[i].do(ServerList{Kind: ListCached, Servers: ready(13)})
+	}
+	sent := map[ServerID][]time.Duration{}
+	play := func(n int, every time.Duration) {
+		at := relays[0].now
+		for i := range n {
+			for _, r := range relays {
+				r.pass(at + time.Duration(i)*every - r.now)
+			}
+			r := relays[i*37%s.Relays]
+			id, done := r.ask(uint64(i % 14))
+			to := r.sent(done, id)
+			sent[to] = append(sent[to], r.now)
+			r.do(Standing{Request: id, Server: to, Took: ms})
+			r.do(Outcome{Request: id, Server: to, Status: OK, Done: true})
+		}
+	}
+	play(80, 500*ms)
+	servers := ready(13)
+	for i := range 8 {
+		servers[i].Born = relays[0].now
+	}
+	for _, r := range relays {
+		r.pass(2 * time.Second) // that the list is behind
+		r.do(ServerList{Kind: ListDelta, Servers: servers})
+	}
+	clear(sent)
+	play(120, 17*ms)
+	cold := 0
+	for id, at := range sent {
+		if cold += len(at); id <= 8 && len(at) > 5 {
+			t.Errorf("new server %d was sent %d within 2 s", id, len(at))
+		}
+		if id > 8 {
+			cold -= len(at)
+		}
+	}
+	if cold < 4 || cold > 24 {
+		t.Errorf("the eight new servers were sent %d of 120, some 16 are wanted", cold)
+	}
+}
+
 // TestRulesHoldOverRandomEvents plays random legal events and checks all four
 // rules, and that what the Balancer counts stays true.
 func TestRulesHoldOverRandomEvents(t *testing.T) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -422,7 +422,7 @@
 // correction a count that has just begun is far too low.
 func (f *fading) within(now, span time.Duration) float64 {
 	seen := 1 - math.Exp(-float64(max(now-f.from, span))/float64(f.over))
-	return max(1e-3, f.at(now)/seen*float64(span)/float64(f.over))
+	return f.at(now) / seen * float64(span) / float64(f.over)
 }
 
 func (f *fading) add(now time.Duration) { f.count, f.since = f.at(now)+1, now }
