Tell of useless lists, keep the farm over an empty one, and reopen watches out of step

Need: eighty relays at a discovery that is overbooked. The watch was opened again after 200 ms sharp, by all relays alike; how it had ended was dropped (Watcher.Run); and a whole list without a server emptied the farm, so that every client was turned away.

Change: waits double up to 1.6 s and are drawn between half and all of it; the end of a watch is logged with its cause and the revision in force; an empty whole list changes nothing.

The tests of empty, cut, garbled and odd lists fail without the change; those of the waits have nothing to call.

--- a/internal/spoken/discovery/discovery.go
+++ b/internal/spoken/discovery/discovery.go
@@ -5,11 +5,13 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -23,9 +25,10 @@
 
 const (
 	dialWait  = time.Second
-	quietMost = 6 * time.Second        // a sound watch says something every 2 s
-	againWait = 200 * time.Millisecond // between two watches
-	lineMost  = 4 << 20                // a list far above any real one
+	quietMost = 6 * time.Second         // a sound watch says something every 2 s
+	againWait = 200 * time.Millisecond  // between two watches, doubled with each that brings nothing,
+	againMost = 1600 * time.Millisecond // up to this; each wait is drawn between half of it and all
+	lineMost  = 4 << 20                 // a list far above any real one
 )
 
 // List is a list of the farm, or of what has changed in it.
@@ -57,6 +60,7 @@
 	Address  string // at the start; Follow names another
 	Zones    []string
 	revision uint64
+	took     uint64 // lists taken
 
 	mu     sync.Mutex
 	next   string             // where the watch is to be opened from now on; "" if where it is
@@ -92,7 +96,12 @@
 // Know takes the list that the relay had before its start.
 func (w *Watcher) Know(l List) error { return w.take(l, balance.ListCached) }
 
+var errEmpty = errors.New("discovery: a whole list names no server; the farm stays as it is")
+
 func (w *Watcher) take(l List, kind balance.ListKind) error {
+	if kind == balance.ListFull && len(l.Members) == 0 && len(w.Core.Farm.List()) > 0 {
+		return errEmpty // an agent that has lost its list would have every client turned away
+	}
 	servers := make([]balance.Server, 0, len(l.Members))
 	addresses := make([]string, 0, len(l.Members))
 	for _, m := range l.Members {
@@ -107,6 +116,7 @@
 		addresses = append(addresses, m.HostPort)
 	}
 	w.revision = l.Revision
+	w.took++
 	w.Core.Revised(l.Revision)
 	w.Core.Listed(kind, servers, addresses)
 	return nil
@@ -115,18 +125,32 @@
 // Run watches until ctx ends. A watch that ends is opened again from the last
 // revision, after a moment, or at once where another address is to be followed.
 func (w *Watcher) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for fails := 0; ctx.Err() == nil; {
 		turn, done := w.turn(ctx)
-		w.watch(turn)
+		took := w.took
+		err := w.watch(turn)
+		if fails++; w.took > took {
+			fails = 0
+		}
+		if turn.Err() == nil {
+			w.Core.Log.Warn("the watch of the farm has ended", "error", cmp.Or(err, io.EOF), "revision", w.revision)
+		}
 		select {
 		case <-turn.Done():
-		case <-time.After(againWait):
+		case <-time.After(again(fails)):
 		}
 		done()
 	}
 	return nil
 }
 
+// again is the wait before a watch is opened after some that brought nothing. It guards
+// against many relays that come back to an agent that is down in step, and at once.
+func again(fails int) time.Duration {
+	most := min(againMost, againWait<<min(fails, 8))
+	return most/2 + rand.N(most/2)
+}
+
 // watch opens one watch and takes what it brings until it ends.
 func (w *Watcher) watch(ctx context.Context) error {
 	d := net.Dialer{Timeout: dialWait}
--- a/internal/spoken/discovery/discovery_test.go
+++ b/internal/spoken/discovery/discovery_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"strings"
 	"sync"
@@ -133,6 +134,71 @@
 	}
 }
 
+// Lists that are empty, cut short, garbled or no lists are told in the log, the farm is
+// kept, and the watch goes on from where it was.
+func TestUselessListsAreToldAndChangeNothing(t *testing.T) {
+	whole := list(7, true, member("s-1", "ready"), member("s-2", "ready"))
+	for name, bad := range map[string]string{
+		"empty": list(9, true), "cut short": list(9, true, member("s-1", "ready"))[:60], "garbled": "{\"revision\":\n",
+		"no list": "[1]\n", "odd phase": list(9, false, member("s-1", "odd")),
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, asked := agent(t, []string{whole, bad}, []string{list(8, false, member("s-2", "draining"))}, nil)
+			k := newCore()
+			log := make(lines, 16)
+			k.Log = slog.New(slog.NewTextHandler(log, nil))
+			ctx, cancel := context.WithCancel(t.Context())
+			var done sync.WaitGroup
+			done.Go(func() { (&Watcher{Core: k, Address: address, Zones: []string{"a", "b"}}).Run(ctx) })
+			defer done.Wait()
+			defer cancel()
+			for _, want := range []string{"from=0", "from=7", "from=8"} {
+				select {
+				case got := <-asked:
+					if !strings.Contains(got, want) {
+						t.Fatalf("asked %q, want %s", got, want)
+					}
+				case <-time.After(5 * time.Second):
+					t.Fatalf("no watch %s", want)
+				}
+			}
+			if text := <-log; !strings.Contains(text, "watch of the farm has ended") {
+				t.Errorf("the log says %q", text)
+			}
+			if got := farmOf(k); got != "s-1=ready s-2=draining" {
+				t.Errorf("the farm is %s", got)
+			}
+		})
+	}
+}
+
+// lines takes what is logged.
+type lines chan string
+
+func (l lines) Write(b []byte) (int, error) {
+	select {
+	case l <- string(b):
+	default:
+	}
+	return len(b), nil
+}
+
+func TestWatchesAreOpenedAgainLessAndLessOften(t *testing.T) {
+	seen := map[time.Duration]bool{}
+	for fails := range 12 {
+		most := min(againMost, againWait<<fails)
+		for range 50 {
+			wait := again(fails)
+			if seen[wait] = true; wait < most/2 || wait > most {
+				t.Fatalf("after %d fails the wait is %v, not within half of %v and all", fails, wait, most)
+			}
+		}
+	}
+	if len(seen) < 100 {
+		t.Errorf("%d waits of 600 differ: relays come back in step", len(seen))
+	}
+}
+
 func TestAnswersThatMakeNoSense(t *testing.T) {
 	for _, text := range []string{
 		"", "HTTP/1.1 404 Not Found\r\n\r\n", "odd\r\n\r\n", "HTTP/1.1 200 OK\r\nno field\r\n\r\n",
