Let many relays move a draining server's clients in time, not all in one instant

Cause: a server that drains loses a part of each relay's connections at a time, rounded up (sendAway); of one connection that is the one.

Change: of more than eight relays each waits 2 s for the server's own word, then lets go by chance, evenly, until 4 s. The list told that such servers were gone 6 s and more after that they drain.

The new test fails without the change.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -54,7 +54,9 @@
 	awayFor = 10 * time.Second // a server that sends clients away drains; the list says so within this
 
 	leaveEvery = 250 * time.Millisecond // a server that drains loses a part of its connections
-	leavePart  = 0.15                   // this often: this part of those it has
+	leavePart  = 0.15                   // this often: this part of those it has;
+	leaveWait  = 2 * time.Second        // of many relays each waits for the server's own word so long,
+	leaveBy    = 4 * time.Second        // and is rid of all by then
 
 	windowMax   = 64.0                   // set-ups under way
 	windowCut   = 0.7                    // kept when set-ups fail on many servers at once
@@ -522,18 +524,24 @@
 	}
 }
 
-// sendAway guards against clients that are cut off when their draining server
-// stops. They move a part at a time, lest those who take them in are swamped.
+// sendAway guards against clients that are cut off when their draining server stops. They
+// move a part at a time, lest those who take them in are swamped; of many relays, by chance.
 func (b *Balancer) sendAway(s *server) {
 	if s.State != Draining || len(s.conns) == 0 {
 		s.sending = false
 		return
 	}
 	s.sending = true
-	b.relieve(s, int(math.Ceil(float64(len(s.conns))*leavePart)), ServerDrains)
+	n, after := int(math.Ceil(float64(len(s.conns))*leavePart)), leaveEvery
+	if left := s.drainAt + leaveBy - b.now; b.set.Relays > fewRelays && left > leaveBy-leaveWait {
+		n, after = 0, left+leaveWait-leaveBy
+	} else if b.set.Relays > fewRelays {
+		n = int(float64(len(s.conns))*float64(leaveEvery)/float64(max(left, leaveEvery)) + b.rng.Float64())
+	}
+	b.relieve(s, n, ServerDrains)
 	b.token++
 	b.leaving[b.token] = s
-	b.do(SetTimer{Token: b.token, After: leaveEvery})
+	b.do(SetTimer{Token: b.token, After: after})
 }
 
 // One cause on many servers.
@@ -686,6 +694,7 @@
 		}
 		s.Server, b.fleet.sure = line, false
 		if !s.sending {
+			s.drainAt = b.now
 			b.sendAway(s)
 		}
 	}
--- a/balance/departures_test.go
+++ b/balance/departures_test.go
@@ -477,6 +477,34 @@
 }
 
 // Who can't be served by anyone is told so at once, and when to come again.
+// Eighty relays with a connection each all moved it in the instant in which they were told,
+// onto servers that had just started.
+func TestManyRelaysMoveADrainingServersClientsInTime(t *testing.T) {
+	s := testSettings()
+	s.Relays = 80
+	relays := make([]*relay, s.Relays)
+	for i := range relays {
+		relays[i] = newRelay(t, s, ready(3)...)
+		relays[i].b = New(s, uint64(i)<<32+7)
+		relays[i].do(ServerList{Kind: ListCached, Servers: ready(3)})
+		relays[i].do(Resumed{Request: Request{ID: 1, Group: 5}, Server: 1})
+		relays[i].do(ServerList{Kind: ListDelta, Servers: []Server{{ID: 1, State: Draining, Weight: 1}}})
+	}
+	moved := 0
+	for at := 250 * ms; at <= 4250*ms; at += 250 * ms {
+		n := 0
+		for _, r := range relays {
+			n += count[Move](r.pass(250 * ms))
+		}
+		if moved += n; n > 24 || at < 2*time.Second && n > 0 {
+			t.Errorf("%d move in the 250 ms before %v", n, at)
+		}
+	}
+	if moved != s.Relays {
+		t.Errorf("%d of %d have moved after 4.25 s", moved, s.Relays)
+	}
+}
+
 func TestRequestWithoutHopeIsAnsweredAtOnce(t *testing.T) {
 	s := testSettings()
 	s.MaxRetryAfter = 1500 * ms
--- a/balance/state.go
+++ b/balance/state.go
@@ -90,6 +90,7 @@
 	delayAt  time.Duration
 	relieved time.Duration
 	sending  bool          // it drains, and its connections are being sent away
+	drainAt  time.Duration // it was told to drain, if it is sending
 	awayAt   time.Duration // it last sent a client away itself; 0 if never
 	fleet    *fleet        // once it was surveyed
 	odd      bool          // it is among the fleet's odd ones
