Call an overbooked discovery again later, so that calls are answered at all

Change: after a 503 the wait is 1 s, doubled up to 8 s, drawn between half of it and all. Other ends of a watch are followed by 200 ms to 1.6 s, as before.

The test fails without the change.

--- a/internal/spoken/discovery/discovery.go
+++ b/internal/spoken/discovery/discovery.go
@@ -28,7 +28,9 @@
 	quietMost = 6 * time.Second         // a sound watch says something every 2 s
 	againWait = 200 * time.Millisecond  // between two watches, doubled with each that brings nothing,
 	againMost = 1600 * time.Millisecond // up to this; each wait is drawn between half of it and all
-	lineMost  = 4 << 20                 // a list far above any real one
+	busyWait  = time.Second             // the same where discovery says that it is overbooked
+	busyMost  = 8 * time.Second
+	lineMost  = 4 << 20 // a list far above any real one
 )
 
 // List is a list of the farm, or of what has changed in it.
@@ -137,7 +139,7 @@
 		}
 		select {
 		case <-turn.Done():
-		case <-time.After(again(fails)):
+		case <-time.After(again(fails, errors.Is(err, errBusy))):
 		}
 		done()
 	}
@@ -145,9 +147,15 @@
 }
 
 // again is the wait before a watch is opened after some that brought nothing. It guards
-// against many relays that come back to an agent that is down in step, and at once.
-func again(fails int) time.Duration {
-	most := min(againMost, againWait<<min(fails, 8))
+// against many relays that come back to an agent that is down in step, and at once; and
+// where discovery is overbooked, against calls that wait in its queue only to fail there,
+// and take the time of those that would not.
+func again(fails int, busy bool) time.Duration {
+	least, most := againWait, againMost
+	if busy {
+		least, most = busyWait, busyMost
+	}
+	most = min(most, least<<min(fails, 8))
 	return most/2 + rand.N(most/2)
 }
 
@@ -201,6 +209,8 @@
 	return q.Conn.Read(b)
 }
 
+var errBusy = errors.New("discovery: the service is overbooked (503)")
+
 var errHead = errors.New("discovery: the answer's head makes no sense")
 
 // readHead reads the head of an answer and returns its body.
@@ -209,7 +219,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if word := strings.SplitN(status, " ", 3); len(word) < 2 || !strings.HasPrefix(word[0], "HTTP/1.") || word[1] != "200" {
+	word := strings.SplitN(status, " ", 3)
+	if len(word) > 1 && word[1] == "503" {
+		return nil, errBusy
+	}
+	if len(word) < 2 || !strings.HasPrefix(word[0], "HTTP/1.") || word[1] != "200" {
 		return nil, fmt.Errorf("discovery: the answer is %q", status)
 	}
 	var body io.Reader = r // until its end, if nothing else is said
--- a/internal/spoken/discovery/discovery_test.go
+++ b/internal/spoken/discovery/discovery_test.go
@@ -184,18 +184,27 @@
 }
 
 func TestWatchesAreOpenedAgainLessAndLessOften(t *testing.T) {
-	seen := map[time.Duration]bool{}
-	for fails := range 12 {
-		most := min(againMost, againWait<<fails)
-		for range 50 {
-			wait := again(fails)
-			if seen[wait] = true; wait < most/2 || wait > most {
-				t.Fatalf("after %d fails the wait is %v, not within half of %v and all", fails, wait, most)
+	for _, busy := range []bool{false, true} {
+		seen := map[time.Duration]bool{}
+		for fails := range 12 {
+			most := min(againMost, againWait<<fails)
+			if busy {
+				most = min(busyMost, busyWait<<fails)
 			}
+			for range 50 {
+				wait := again(fails, busy)
+				if seen[wait] = true; wait < most/2 || wait > most {
+					t.Fatalf("after %d fails, busy %v, the wait is %v, not within half of %v and all", fails, busy, wait, most)
+				}
+			}
+		}
+		if len(seen) < 100 {
+			t.Errorf("%d waits of 600 differ: relays come back in step", len(seen))
 		}
 	}
-	if len(seen) < 100 {
-		t.Errorf("%d waits of 600 differ: relays come back in step", len(seen))
+	_, err := readHead(bufio.NewReader(strings.NewReader("HTTP/1.1 503 Service Unavailable\r\n\r\n")))
+	if !errors.Is(err, errBusy) {
+		t.Errorf("an overbooked discovery is told as %v", err)
 	}
 }
 
