--- a/balance/departures_test.go
+++ b/balance/departures_test.go
@@ -482,13 +482,10 @@
 func TestManyRelaysMoveADrainingServersClientsInTime(t *testing.T) {
 	s := testSettings()
 	s.Relays = 80
-	relays := make([]*relay, s.Relays)
-	for i := range relays {
-		relays[i] = newRelay(t, s, ready(3)...)
-		relays[i].b = New(s, uint64(i)<<32+7)
-		relays[i].do(ServerList{Kind: ListCached, Servers: ready(3)})
-		relays[i].do(Resumed{Request: Request{ID: 1, Group: 5}, Server: 1})
-		relays[i].do(ServerList{Kind: ListDelta, Servers: []Server{{ID: 1, State: Draining, Weight: 1}}})
+	relays := fleetOf(t, s, ready(3)...)
+	for _, r := range relays {
+		r.do(Resumed{Request: Request{ID: 1, Group: 5}, Server: 1})
+		r.do(ServerList{Kind: ListDelta, Servers: []Server{{ID: 1, State: Draining, Weight: 1}}})
 	}
 	moved := 0
 	for at := 250 * ms; at <= 4250*ms; at += 250 * ms {
--- a/balance/harness_test.go
+++ b/balance/harness_test.go
@@ -50,6 +50,18 @@
 	return r
 }
 
+// fleetOf returns as many relays as the settings name, each of a seed of its own.
+func fleetOf(t *testing.T, s Settings, servers ...Server) []*relay {
+	t.Helper()
+	relays := make([]*relay, s.Relays)
+	for i := range relays {
+		relays[i] = newRelay(t, s)
+		relays[i].b = New(s, uint64(i)<<32+7)
+		relays[i].do(ServerList{Kind: ListCached, Servers: servers})
+	}
+	return relays
+}
+
 // ready returns n ready servers of equal size, numbered from 1.
 func ready(n int) []Server {
 	list := make([]Server, n)
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -226,12 +226,7 @@
 func TestColdServerIsSharedByManyRelays(t *testing.T) {
 	s := testSettings()
 	s.Relays = 100
-	relays := make([]*relay, s.Relays)
-	for i := range relays {
-		relays[i] = newRelay(t, s)
-		relays[i].b = New(s, uint64(i)<<32+7)
-		relays[i].do(ServerList{Kind: ListCached, Servers: []Server{{ID: 1, State: Ready, Weight: 1, Born: time.Hour}}})
-	}
+	relays := fleetOf(t, s, Server{ID: 1, State: Ready, Weight: 1, Born: time.Hour})
 	sent := map[time.Duration]int{} // by span
 	total := 0
 	for range 150 {
@@ -259,12 +254,7 @@
 	s.Relays = 80
 	servers := ready(5)
 	servers[0].Born = time.Hour
-	relays := make([]*relay, s.Relays)
-	for i := range relays {
-		relays[i] = newRelay(t, s)
-		relays[i].b = New(s, uint64(i)<<32+7)
-		relays[i].do(ServerList{Kind: ListCached, Servers: servers})
-	}
+	relays := fleetOf(t, s, servers...)
 	var sent []time.Duration // to the cold server
 	for i := range 400 {     // twenty requests a second, each at another relay
 		r := relays[i*37%s.Relays]
@@ -291,12 +281,7 @@
 func TestCrowdDoesNotPushNewServersOver(t *testing.T) {
 	s := testSettings()
 	s.Relays, s.TipAfter, s.ColdShare = 80, 3*time.Second, 0.12
-	relays := make([]*relay, s.Relays)
-	for i := range relays {
-		relays[i] = newRelay(t, s)
-		relays[i].b = New(s, uint64(i)<<32+7)
-		relays[i].do(ServerList{Kind: ListCached, Servers: ready(13)})
-	}
+	relays := fleetOf(t, s, ready(13)...)
 	sent := map[ServerID][]time.Duration{}
 	play := func(n int, every time.Duration) {
 		at := relays[0].now
