--- a/balance/balance.go
+++ b/balance/balance.go
@@ -490,15 +490,12 @@
 // while a server is slow or full, and lest they then come all at once, it is
 // eased into work. A group whose cached server is so is drawn anew first.
 func (b *Balancer) mustWait(s *server) bool {
-	if s.lastSlow == 0 || b.now >= s.lastSlow+easeFor {
-		return false
-	}
-	return s.slowAt(b.now) || !b.turn(s, b.set.TipAfter.Seconds()/easeGap.Seconds()/float64(b.set.Relays))
+	return s.slowAt(b.now) || s.lastSlow > 0 && b.now < s.lastSlow+easeFor &&
+		!b.turn(s, b.set.TipAfter.Seconds()/easeGap.Seconds()/float64(b.set.Relays))
 }
 
-// turn shares a server among relays that know nothing of each other, where this
-// one may send it n set-ups within the time that pushes a cold server over. If n
-// is under one, it gets its turn by chance.
+// turn shares a server among relays that know nothing of each other, where this one may send
+// it n set-ups within the time that pushes a cold server over; its turn comes by chance if n < 1.
 func (b *Balancer) turn(s *server, n float64) bool {
 	return b.rested(s, n) && uniform(b.salt+uint64(b.now/b.set.TipAfter), s.ID) < n
 }
@@ -533,9 +530,10 @@
 	}
 	s.sending = true
 	n, after := int(math.Ceil(float64(len(s.conns))*leavePart)), leaveEvery
-	if left := s.drainAt + leaveBy - b.now; b.set.Relays > fewRelays && left > leaveBy-leaveWait {
-		n, after = 0, left+leaveWait-leaveBy
-	} else if b.set.Relays > fewRelays {
+	if wait := s.drainAt + leaveWait - b.now; b.many() && wait > 0 {
+		n, after = 0, wait
+	} else if b.many() {
+		left := s.drainAt + leaveBy - b.now
 		n = int(float64(len(s.conns))*float64(leaveEvery)/float64(max(left, leaveEvery)) + b.rng.Float64())
 	}
 	b.relieve(s, n, ServerDrains)
@@ -607,21 +605,20 @@
 		return true
 	}
 	n, span := b.coldPart(s), b.set.TipAfter
-	if b.set.Relays <= fewRelays || n >= 1 {
+	if !b.many() || n >= 1 {
 		return b.turn(s, n)
 	}
 	return b.rested(s, n) &&
 		uniform(b.salt+uint64(q.ID)+uint64(b.now/span), s.ID) < n/max(paceLeast, b.pace.within(b.now, span))
 }
 
-// coldPart is this relay's part of what a cold server may be sent. Many relays see
-// too few set-ups to tell what servers bear.
+// coldPart is this relay's part of what a cold server may be sent; many see too little to tell.
 func (b *Balancer) coldPart(s *server) float64 {
 	if _, _, warm, _ := b.totals(); warm > 0 {
 		b.fleet.perSize = b.fleet.recent.at(b.now) / rateMemory.Seconds() / warm
 	}
 	least := 1 / float64(b.set.Relays)
-	if b.set.Relays > fewRelays {
+	if b.many() {
 		least *= s.size() * coldLeast
 	}
 	n := b.fleet.perSize * s.size() * b.set.TipAfter.Seconds() * b.set.TipMultiple * coldPart
@@ -631,8 +628,11 @@
 // coldTurn guards against cold servers that stay empty behind many relays: where a
 // relay's part is less than one, a turn left to the draw's weights is mostly lost.
 func (b *Balancer) coldTurn(q *request) (best *server) {
+	if !b.many() {
+		return nil
+	}
 	for s := range b.fleet.cold(b.now, b.set.ColdFor) {
-		if b.set.Relays > fewRelays && b.coldPart(s) < 1 && b.usable(q, s) && !s.slowAt(b.now) &&
+		if b.coldPart(s) < 1 && b.usable(q, s) && !s.slowAt(b.now) &&
 			(best == nil || uniform(b.salt, s.ID) < uniform(b.salt, best.ID)) {
 			best = s
 		}
--- a/balance/departures_test.go
+++ b/balance/departures_test.go
@@ -476,7 +476,6 @@
 	}
 }
 
-// Who can't be served by anyone is told so at once, and when to come again.
 // Eighty relays with a connection each all moved it in the instant in which they were told,
 // onto servers that had just started.
 func TestManyRelaysMoveADrainingServersClientsInTime(t *testing.T) {
@@ -502,6 +501,7 @@
 	}
 }
 
+// Who can't be served by anyone is told so at once, and when to come again.
 func TestRequestWithoutHopeIsAnsweredAtOnce(t *testing.T) {
 	s := testSettings()
 	s.MaxRetryAfter = 1500 * ms
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -208,7 +208,7 @@
 		_, done := r.ask(uint64(r.next))
 		for _, a := range append(done, r.pass(50*ms)...) {
 			if s, ok := a.(Send); ok {
-				if gap := r.now - last[s.Server]; last[s.Server] > 0 && gap < 1400*ms { // each is seen up to 50 ms late
+				if gap := r.now - last[s.Server]; last[s.Server] > 0 && gap < 1500*ms {
 					t.Fatalf("server %d sent to twice within %v", s.Server, gap)
 				}
 				last[s.Server] = r.now
--- a/balance/state.go
+++ b/balance/state.go
@@ -143,6 +143,9 @@
 	}
 }
 
+// many tells whether there are so many relays that each sees little.
+func (b *Balancer) many() bool { return b.set.Relays > fewRelays }
+
 // paced counts a request that a server is drawn for: once in the time in which a cold
 // server could fall over, as it gets one chance at each in that.
 func (b *Balancer) paced(q *request) {
--- a/internal/spoken/discovery/discovery.go
+++ b/internal/spoken/discovery/discovery.go
@@ -62,7 +62,7 @@
 	Address  string // at the start; Follow names another
 	Zones    []string
 	revision uint64
-	took     uint64 // lists taken
+	fails    int // watches since a list was last taken
 
 	mu     sync.Mutex
 	next   string             // where the watch is to be opened from now on; "" if where it is
@@ -118,7 +118,7 @@
 		addresses = append(addresses, m.HostPort)
 	}
 	w.revision = l.Revision
-	w.took++
+	w.fails = 0
 	w.Core.Revised(l.Revision)
 	w.Core.Listed(kind, servers, addresses)
 	return nil
@@ -127,19 +127,16 @@
 // Run watches until ctx ends. A watch that ends is opened again from the last
 // revision, after a moment, or at once where another address is to be followed.
 func (w *Watcher) Run(ctx context.Context) error {
-	for fails := 0; ctx.Err() == nil; {
+	for ctx.Err() == nil {
 		turn, done := w.turn(ctx)
-		took := w.took
+		w.fails++
 		err := w.watch(turn)
-		if fails++; w.took > took {
-			fails = 0
-		}
 		if turn.Err() == nil {
 			w.Core.Log.Warn("the watch of the farm has ended", "error", cmp.Or(err, io.EOF), "revision", w.revision)
 		}
 		select {
 		case <-turn.Done():
-		case <-time.After(again(fails, errors.Is(err, errBusy))):
+		case <-time.After(again(w.fails, errors.Is(err, errBusy))):
 		}
 		done()
 	}
