Take lists that come indented, over as many lines as they like

The watch read one JSON object a line (discovery.go, the Scanner in watch): the first line of an indented list is a lone brace, the watch ended with a syntax error and was opened again, time after time, and a relay went on with the list of its configuration for as long as it lived.

Change: a decoder reads one list after another from the stream, however it is laid out. A list may have 64 MiB, told in the log where it has more; memory is taken as it comes. It was 4 MiB a line.

Measured: TestIndentedListsAreTaken fails without the change (the watch is opened again from revision 0).

--- a/internal/spoken/discovery/discovery.go
+++ b/internal/spoken/discovery/discovery.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -30,7 +29,7 @@
 	againMost = 1600 * time.Millisecond // up to this; each wait is drawn between half of it and all
 	busyWait  = time.Second             // the same where discovery says that it is overbooked
 	busyMost  = 8 * time.Second
-	lineMost  = 4 << 20 // a list far above any real one
+	listMost  = 64 << 20 // bytes of one list: 100,000 servers, indented. Memory is taken as a list comes
 )
 
 // List is a list of the farm, or of what has changed in it.
@@ -225,15 +224,14 @@
 	if err != nil {
 		return err
 	}
-	lines := bufio.NewScanner(body)
-	lines.Buffer(nil, lineMost)
-	for lines.Scan() {
-		text := bytes.TrimSpace(lines.Bytes())
-		if len(text) == 0 {
-			continue
-		}
+	// Lists may come indented, over many lines: what ends one is its last brace.
+	whole := &bounded{Reader: body}
+	for lists := json.NewDecoder(whole); ; {
 		var l List
-		if err := json.Unmarshal(text, &l); err != nil {
+		whole.left = listMost
+		if err := lists.Decode(&l); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
 			return err
 		}
 		kind := balance.ListDelta
@@ -244,7 +242,21 @@
 			return err
 		}
 	}
-	return lines.Err()
+}
+
+// bounded ends a list that would take all memory.
+type bounded struct {
+	io.Reader
+	left int
+}
+
+func (b *bounded) Read(to []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, fmt.Errorf("discovery: a list is longer than %d bytes; the farm stays as it is", listMost)
+	}
+	n, err := b.Reader.Read(to[:min(len(to), b.left)])
+	b.left -= n
+	return n, err
 }
 
 // quiet ends a connection that says nothing for too long.
--- a/internal/spoken/discovery/discovery_test.go
+++ b/internal/spoken/discovery/discovery_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -121,6 +122,39 @@
 	done.Wait()
 }
 
+// Lists may come indented. One that is read line by line ends the watch, time after time, and the relay goes on
+// with what it knew at its start.
+func TestIndentedListsAreTaken(t *testing.T) {
+	indent := func(text string) string {
+		var b bytes.Buffer
+		if err := json.Indent(&b, []byte(text), "", "  "); err != nil {
+			t.Fatal(err)
+		}
+		return b.String()
+	}
+	all := indent(list(7, true, member("s-1", "ready"), member("s-2", "ready")))
+	address, asked := agent(t, []string{"\n", all[:50], all[50:], "\r\n\n", indent(list(8, false, member("s-2", "draining")))}, nil)
+	k := newCore()
+	ctx, cancel := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	done.Go(func() { (&Watcher{Core: k, Address: address, Zones: []string{"a", "b"}}).Run(ctx) })
+	defer done.Wait()
+	defer cancel()
+	for _, want := range []string{"from=0", "from=8"} {
+		select {
+		case got := <-asked:
+			if !strings.Contains(got, want) {
+				t.Fatalf("asked %q, want %s", got, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("no watch %s", want)
+		}
+	}
+	if got := farmOf(k); got != "s-1=ready s-2=draining" {
+		t.Errorf("the farm is %s", got)
+	}
+}
+
 func TestListsThatMakeNoSenseChangeNothing(t *testing.T) {
 	k := newCore()
 	w := &Watcher{Core: k}
