Lift the bounds on servers below what a thousand need, and test at 1,024 and 2,000

Need: no list of relays or servers may be capped below 1,024. The audit found orders to drain kept to the last 1,000 (keep.go: older ones went in silence, and their servers had clients again after a restart); what is learnt kept in one record of at most 1 MiB, which the list, weights and routes of 2,000 servers are over (frame.go: dropped in silence, time after time); lab worlds of at most 256 relays; the list kept and the farm compared each with each, 4 million looks a list of 2,000.

Change: 65,536 orders; records of 16 MiB, and the log says where one is larger, with its size; 64 MiB for a hand-over; 4,096 relays in the lab; maps in place of searches. Memory is taken by need in all of them.

--- a/internal/handover/channel.go
+++ b/internal/handover/channel.go
@@ -18,7 +18,7 @@
 // it in one, and a body in JSON.
 const (
 	headSize  = 6
-	bodyMost  = 8 << 20 // far above a list of a thousand servers and all routes that are kept
+	bodyMost  = 64 << 20 // a list of 60,000 servers and all routes that are kept; memory is taken by what a body has
 	filesMost = 8
 )
 
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"encoding/json"
@@ -21,6 +22,7 @@
 
 // giver is a relay with one door.
 type giver struct {
+	state json.RawMessage // if not a small one
 	door  *net.TCPListener
 	given atomic.Int32 // how often it was told so, less how often the contrary
 	fail  atomic.Bool
@@ -31,7 +33,7 @@
 	if g.fail.Load() {
 		err = errors.New("no turn comes")
 	}
-	return &Offer{Clock: time.Hour, Doors: []string{"line"}, State: json.RawMessage(`{"x":1}`)}, []syscall.Conn{g.door}, err
+	return &Offer{Clock: time.Hour, Doors: []string{"line"}, State: json.RawMessage(cmp.Or(string(g.state), `{"x":1}`))}, []syscall.Conn{g.door}, err
 }
 
 func (g *giver) Given(given bool) {
@@ -157,6 +159,15 @@
 
 // A new process that goes before or after it has taken over leaves the old one unharmed,
 // and the next can come.
+// What a relay of tens of thousands of servers hands over is not turned down for its size.
+func TestLargeOffer(t *testing.T) {
+	h, g := host(t)
+	g.state, _ = json.Marshal(strings.Repeat("x", 9<<20))
+	if got := guest(t, h); len(got.Offer.State) != len(g.state) {
+		t.Errorf("%d bytes of %d are offered", len(got.Offer.State), len(g.state))
+	}
+}
+
 func TestOldProcessGoesOn(t *testing.T) {
 	h, old := host(t)
 	guest(t, h).Close() // before
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -18,6 +18,9 @@
 )
 
 const (
+	// OrdersMost bounds the orders that are kept, one a server: far more servers than a farm has. The oldest go
+	// first, and a server that was to drain would get clients again after a restart.
+	OrdersMost = 1 << 16
 	// DecisionsMost and DecisionsFor bound the decisions that are kept.
 	DecisionsMost = 2000
 	DecisionsFor  = 14 * 24 * time.Hour
@@ -26,7 +29,7 @@
 // Kinds are all that a relay keeps.
 func Kinds() []store.Kind {
 	return []store.Kind{
-		{Name: Orders, Sync: store.AtOnce, Most: 1000},
+		{Name: Orders, Sync: store.AtOnce, Most: OrdersMost},
 		{Name: Learnt, Sync: store.BestEffort, Most: 8},
 		{Name: Decisions, Sync: store.Grouped, Most: DecisionsMost, Keep: DecisionsFor},
 	}
--- /dev/null
+++ b/internal/lifecycle/many_test.go
@@ -0,0 +1,249 @@
+package lifecycle
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"lockroad/balance"
+	"lockroad/internal/console"
+	"lockroad/internal/core"
+	"lockroad/internal/keep"
+	"lockroad/internal/spoken/discovery"
+	"lockroad/internal/steps"
+	"lockroad/internal/store"
+)
+
+// Farms far above those of today: nothing may be cut off in silence at a thousand servers.
+var manyServers = []int{1024, 2000}
+
+func listOf(n int) discovery.List {
+	l := discovery.List{Revision: 41, Complete: true}
+	for i := range n {
+		l.Members = append(l.Members, discovery.Member{
+			ID: fmt.Sprintf("s-%08x", i+1), HostPort: fmt.Sprintf("10.%d.%d.%d:3000", i>>16, i>>8&255, i&255), Locality: "a",
+			Flavor: "std-2", Cell: i / 8, Phase: "ready", Size: 1, UpSince: 1764633600000 + int64(i),
+		})
+	}
+	return l
+}
+
+// knowing is a core with a list of n servers, and the watcher that took it.
+func knowing(t testing.TB, n int) (*core.Core, *discovery.Watcher) {
+	t.Helper()
+	k := core.New(balance.Settings{
+		Classes: []balance.Class{{Name: "page", Deadline: time.Second}}, Relays: 350, MaxAttempts: 3, Tick: 2 * time.Millisecond,
+		ColdShare: 0.2, ColdFor: 23 * time.Second, TipMultiple: 3, TipAfter: time.Second,
+	}, 1, core.NewClock())
+	w := &discovery.Watcher{Core: k, Zones: []string{"a"}, Keep: true}
+	if err := w.Know(listOf(n)); err != nil {
+		t.Fatal(err)
+	}
+	return k, w
+}
+
+// learntOf is what a relay has learnt of n servers, with all routes that are kept.
+func learntOf(n int) balance.Memory {
+	var m balance.Memory
+	for i := range n {
+		at := time.Duration(i) * time.Second
+		m.Servers = append(m.Servers, balance.ServerMemory{ID: balance.ServerID(i + 1), Weight: 0.123456789, Weighed: at, LastSent: at, StoodAt: at,
+			FailedAt: at, LastSlow: at, Delay: at, DelayAt: at, Relieved: at, DrainAt: at, AwayAt: at, LastBorn: at})
+	}
+	for i := range 4096 {
+		m.Routes = append(m.Routes, balance.RouteMemory{Key: uint64(i) << 40, Server: balance.ServerID(i%n + 1), Until: time.Hour})
+	}
+	return m
+}
+
+func TestManyServersInTheFirstConfiguration(t *testing.T) {
+	for _, n := range manyServers {
+		var fields map[string]any
+		if err := json.Unmarshal([]byte(configText("127.0.0.1:3000", "127.0.0.1:8500", "x")), &fields); err != nil {
+			t.Fatal(err)
+		}
+		fields["known"] = listOf(n)
+		text, _ := json.MarshalIndent(fields, "", "    ")
+		file := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if c, err := ReadConfig(file); err != nil || len(c.Known.Members) != n {
+			t.Errorf("%d servers: %d are read, %v", n, len(c.Known.Members), err)
+		}
+	}
+}
+
+// discoveryOf answers a watch with a text, in chunks of some bytes.
+func discoveryOf(t *testing.T, text []byte, chunk int) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		c.Read(make([]byte, 4096))
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for rest := text; len(rest) > 0; rest = rest[min(chunk, len(rest)):] {
+			part := rest[:min(chunk, len(rest))]
+			fmt.Fprintf(c, "%x\r\n%s\r\n", len(part), part)
+		}
+		io.Copy(io.Discard, c) // the watch stays open
+	}()
+	return l.Addr().String()
+}
+
+func TestManyServersFromDiscovery(t *testing.T) {
+	for _, n := range manyServers {
+		whole, _ := json.Marshal(listOf(n))
+		indented, _ := json.MarshalIndent(listOf(n), "", "    ")
+		var pieces, drains bytes.Buffer
+		for i, m := range listOf(n).Members { // one change a server, then each drains
+			one := discovery.List{Revision: uint64(50 + i), Members: []discovery.Member{m}}
+			json.NewEncoder(&pieces).Encode(one)
+			one.Members[0].Phase = "draining"
+			json.NewEncoder(&drains).Encode(one)
+		}
+		for name, c := range map[string]struct {
+			text  []byte
+			phase balance.State
+		}{
+			"whole": {whole, balance.Ready}, "indented": {indented, balance.Ready}, "pieces": {pieces.Bytes(), balance.Ready},
+			"changes": {append(append(whole, '\n'), drains.Bytes()...), balance.Draining},
+		} {
+			k, _ := knowing(t, 0)
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			w := &discovery.Watcher{Core: k, Address: discoveryOf(t, c.text, 1000), Zones: []string{"a"}, Keep: true}
+			go func() { w.Run(ctx); close(done) }()
+			go k.Run(ctx)
+			steps.Until(t, fmt.Sprintf("%d servers, %s: not all are there", n, name), func() bool { return k.Farm.Phases()[c.phase] == int64(n) })
+			cancel()
+			<-done
+			if l, _ := w.List(); len(l.Members) != n {
+				t.Errorf("%d servers, %s: %d are kept for another process", n, name, len(l.Members))
+			}
+		}
+	}
+}
+
+// What is learnt of a farm goes into one record, and orders are one a server. Past a megabyte the one was dropped in
+// silence, and of the others all but the last thousand.
+func TestManyServersOutlastARestart(t *testing.T) {
+	for _, n := range manyServers {
+		dir := t.TempDir()
+		s, _, err := store.Open(store.Dir(dir), store.Options{Kinds: keep.Kinds()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		known := keep.Known{Name: "n1", At: time.Now(), List: listOf(n), Names: map[balance.ServerID]string{}, Memory: learntOf(n)}
+		for i, m := range known.List.Members {
+			known.Names[balance.ServerID(i+1)] = m.ID
+		}
+		if err := learnt(s).Commit(t.Context(), learntKey, known); err != nil {
+			t.Errorf("%d servers: what is learnt is not kept: %v", n, err)
+		}
+		orders := &store.Table[keep.Order]{Store: s, Kind: keep.Orders, Version: 1}
+		for i, m := range known.List.Members {
+			if orders.Put(m.ID, keep.Order{Server: m.ID, Since: time.Now()}); i%200 == 0 { // the queue has a bound
+				if err := orders.Commit(t.Context(), m.ID, keep.Order{Server: m.ID}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if err := orders.Commit(t.Context(), "s-00000001", keep.Order{Server: "s-00000001"}); err != nil {
+			t.Fatal(err)
+		}
+		s.Close()
+		if s, _, err = store.Open(store.Dir(dir), store.Options{Kinds: keep.Kinds()}); err != nil {
+			t.Fatal(err)
+		}
+		got, _, ok, err := learnt(s).Get(learntKey)
+		if !ok || err != nil || len(got.List.Members) != n || len(got.Memory.Servers) != n || len(got.Memory.Routes) != 4096 {
+			t.Errorf("%d servers: %v, %v, %d, %d and %d are read back", n, ok, err, len(got.List.Members), len(got.Memory.Servers), len(got.Memory.Routes))
+		}
+		if stats := s.Stats(); stats.Records[keep.Orders] != n {
+			t.Errorf("%d orders: %d are there after a restart", n, stats.Records[keep.Orders])
+		}
+		s.Close()
+	}
+}
+
+func TestManyServersAtTheConsole(t *testing.T) {
+	for _, n := range manyServers {
+		k, _ := knowing(t, n)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go k.Run(ctx)
+		socket := filepath.Join(t.TempDir(), "c")
+		l, err := console.Listen(socket)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go (&console.Desk{Name: "n1", Core: k}).Serve(ctx, l)
+		for _, command := range []string{"farm", "servers", "farm --json"} {
+			var out strings.Builder
+			if code := console.Run(socket, command, nil, &out, os.Stderr); code != 0 {
+				t.Fatalf("%s ends with %d", command, code)
+			}
+			if got := strings.Count(out.String(), "s-0000"); got != n {
+				t.Errorf("%s names %d of %d servers", command, got, n)
+			}
+		}
+	}
+}
+
+// What is handed over of a large farm fits into one message.
+func TestManyServersAreHandedOver(t *testing.T) {
+	for _, n := range manyServers {
+		text, err := json.Marshal(state{List: listOf(n), Memory: learntOf(n)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err != nil || len(text) > 4<<20 { // TestLargeOffer hands over nine
+			t.Errorf("the state of %d servers has %d bytes, %v", n, len(text), err)
+		}
+	}
+}
+
+// What a relay takes for a farm's list, beside what it takes for none. The platform's limits are some 70 MB.
+func TestMemoryByServers(t *testing.T) {
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for _, n := range []int{12, 90, 500, 1024, 2000} {
+		before := heap()
+		k, w := knowing(t, n)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { k.Run(ctx); close(done) }()
+		if _, err := k.Recollect(ctx); err != nil { // the list has been taken
+			t.Fatal(err)
+		}
+		took := int64(heap()) - int64(before)
+		cancel()
+		<-done
+		runtime.KeepAlive(w)
+		t.Logf("%4d servers: %d KB", n, took>>10)
+		if took > 256<<10+int64(n)*3<<10 {
+			t.Errorf("%d servers take %d bytes", n, took)
+		}
+	}
+}
--- a/internal/memory/farm.go
+++ b/internal/memory/farm.go
@@ -123,8 +123,12 @@
 
 // Keep marks every server as gone that a whole list leaves out.
 func (f *Farm) Keep(named []balance.Server) {
+	there := make(map[balance.ServerID]bool, len(named)) // lists of thousands come while clients wait
+	for _, n := range named {
+		there[n.ID] = true
+	}
 	for _, s := range f.List() {
-		if s.Phase != balance.Gone && !slices.ContainsFunc(named, func(n balance.Server) bool { return n.ID == s.ID }) {
+		if s.Phase != balance.Gone && !there[s.ID] {
 			f.Update(s.ID, "", balance.Gone)
 		}
 	}
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -274,7 +274,7 @@
 
 func TestWorldsThatMakeNoSenseAreRefused(t *testing.T) {
 	for want, change := range map[string]func(*World){
-		"servers 0": func(w *World) { w.Servers = 0 }, "relays 999": func(w *World) { w.Relays = 999 }, "rate -1": func(w *World) { w.Rate = -1 },
+		"servers 0": func(w *World) { w.Servers = 0 }, "relays 9999": func(w *World) { w.Relays = 9999 }, "rate -1": func(w *World) { w.Rate = -1 },
 		"for 0s": func(w *World) { w.For = 0 }, "no classes": func(w *World) { w.Classes = nil }, "groups 0": func(w *World) { w.Groups = 0 },
 		"cold-share 2": func(w *World) { w.ColdShare = 2 }, "swing 1": func(w *World) { w.Swing = 1 }, "zones 0": func(w *World) { w.Zones = 0 },
 	} {
--- a/internal/model/scenes.go
+++ b/internal/model/scenes.go
@@ -359,7 +359,7 @@
 // settable are the parameters of a world that an experiment may set, by name.
 var settable = map[string]func(w *World, n *sexp.Node) error{
 	"servers":    whole(1, 5000, func(w *World, v int) { w.Servers = v }),
-	"relays":     whole(1, 256, func(w *World, v int) { w.Relays = v }),
+	"relays":     whole(1, RelaysMost, func(w *World, v int) { w.Relays = v }),
 	"zones":      whole(1, 64, func(w *World, v int) { w.Zones = v }),
 	"standing":   whole(0, 1_000_000, func(w *World, v int) { w.Standing = v }),
 	"groups":     whole(1, 10_000_000, func(w *World, v int) { w.Groups = v }),
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -28,6 +28,9 @@
 	Worth      float64       // of a second that is well served
 }
 
+// RelaysMost bounds the relays of a world: each is an instance of the module, with the whole list.
+const RelaysMost = 4096
+
 // World is what is simulated. Every field has a value in Galway. Classes' loads and
 // lives are against each other: the mean over all clients is one usual connection, and
 // Life.
@@ -119,7 +122,7 @@
 		}
 	}
 	bad(w.Servers < 1 || w.Servers > 5000, "servers %d are not within 1 and 5000", w.Servers)
-	bad(w.Relays < 1 || w.Relays > 256, "relays %d are not within 1 and 256", w.Relays)
+	bad(w.Relays < 1 || w.Relays > RelaysMost, "relays %d are not within 1 and %d", w.Relays, RelaysMost)
 	bad(w.Zones < 1, "zones %d are fewer than one", w.Zones)
 	bad(!(w.Rate >= 0 && w.Rate <= 1e5), "rate %v is not within 0 and 100000", w.Rate)
 	bad(!(w.Swing >= 0 && w.Swing < 1), "swing %v is not within 0 and 1", w.Swing)
--- a/internal/spoken/discovery/discovery.go
+++ b/internal/spoken/discovery/discovery.go
@@ -128,17 +128,23 @@
 		return
 	}
 	w.kept.Revision, w.kept.Complete = l.Revision, true
+	news := make(map[string]Member, len(l.Members))
 	for _, m := range l.Members {
-		at := slices.IndexFunc(w.kept.Members, func(k Member) bool { return k.ID == m.ID })
-		switch {
-		case at < 0 && m.Phase != "gone":
-			w.kept.Members = append(w.kept.Members, m)
-		case at >= 0 && m.Phase == "gone":
-			w.kept.Members = slices.Delete(w.kept.Members, at, at+1)
-		case at >= 0:
-			w.kept.Members[at] = m
+		news[m.ID] = m // its last line, where there are several
+	}
+	for i, k := range w.kept.Members {
+		if m, ok := news[k.ID]; ok {
+			w.kept.Members[i] = m
+			delete(news, k.ID)
+		}
+	}
+	for _, m := range l.Members { // in the order that they came in
+		if last, ok := news[m.ID]; ok {
+			w.kept.Members = append(w.kept.Members, last)
+			delete(news, m.ID)
 		}
 	}
+	w.kept.Members = slices.DeleteFunc(w.kept.Members, func(m Member) bool { return m.Phase == "gone" })
 }
 
 // Know takes the list that the relay had before its start.
--- a/internal/store/frame.go
+++ b/internal/store/frame.go
@@ -30,7 +30,7 @@
 	headSize  = 8 + 2 + 2 + 8 + 8 + 4
 	frameHead = 4 + 4 + 8 + 8 + 4
 	mark      = 0x7e53a9c1
-	frameMost = 1 << 20 // bytes of a commit's entries
+	frameMost = 16 << 20 // bytes of a commit's entries: what is learnt of 20,000 servers. Memory is taken by what one has
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -234,9 +234,14 @@
 // Put has changes committed together, some time soon. It never waits: where there is no room
 // for them they are dropped, and counted.
 func (s *Store) Put(changes ...Change) {
-	if s.offer(&commit{changes: changes}) != nil {
+	c := &commit{changes: changes}
+	err := s.offer(c)
+	if err != nil {
 		s.drop(changes)
 	}
+	if errors.Is(err, ErrTooLarge) { // it would be so the next time too
+		s.log.Warn("a record is too large to be kept", "kind", changes[0].Kind, "bytes", c.size(), "most", frameMost)
+	}
 }
 
 // Commit has changes committed together and waits until they are, as their kinds have it.
