Give an attempt all its time where set-ups take as long as half of it: a class starved

One request followed: its first attempt was given up after 300 of its 600 ms (patience: half of what is left), while set-ups took some 400 ms everywhere; the back-off took 100 ms, the second attempt had 200 ms and was cut off too; the client came again, at another relay, to the same end. Each start costs the store another call. sharedCause is meant to see this, but wants two failures within 2 s: of 300 relays each has a request in several seconds. And an attempt that may not be repeated was cut short for a second that never follows.

Lines at fault: patience in balance.go. Change: the whole time where a time-out may not be repeated, or where set-ups usually take half of it: what stood lately, halved by quick ones; cut off ones count once a second server has kept one as long, as one may hang. Half a minute without news forgets it. release, which decides nothing, went to state.go to make room.

Without the mend TestEveryClassOfAHerdIsServed serves 8 of 107 of the class short of time, the test of the class that may not be repeated sees 995 ms of 2 s.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -88,6 +88,7 @@
 	salt     uint64  // sets this relay apart from others
 	part     float64 // of the budget of cold servers that is this process's
 	pace     fading  // requests that servers were looked for, by this relay
+	setups   setups  // how long they take
 	seen     observer
 }
 
@@ -194,7 +195,7 @@
 	q.attempts++
 	wait := b.patience(q)
 	b.note(Sent, why, q, s, wait)
-	q.at = s
+	q.at, q.sentAt = s, b.now
 	b.window.out++
 	s.lastSent = b.now
 	b.do(Send{Request: q.ID, Server: s.ID, Timeout: wait})
@@ -216,22 +217,13 @@
 	}
 }
 
-// release sends what waited for the window.
-func (b *Balancer) release() {
-	for w := &b.window; len(w.queue) > 0 && !w.full(); {
-		q := w.queue[0]
-		w.queue = w.queue[1:]
-		if !q.over {
-			b.advance(q)
-		}
-	}
-}
-
-// patience is the time-out of the attempt that goes out: while another may
-// follow, it leaves time for it.
+// patience is the time-out of the attempt that goes out: while another may follow, it leaves
+// time for it. None follows where a time-out may not be repeated; and where set-ups take as long
+// as half of what is left, one cut off there only begins anew, with less time and on more load.
 func (b *Balancer) patience(q *request) time.Duration {
 	left := q.giveUp - b.now
-	if q.attempts >= q.set.MaxAttempts || b.shared() {
+	if q.attempts >= q.set.MaxAttempts || b.shared() ||
+		q.class.Effect == AtMostOnce || left/2 <= b.setups.usual(b.now) {
 		return left
 	}
 	return max(left/2, min(left, b.set.Connect+holdFor))
@@ -264,6 +256,7 @@
 	s := q.at
 	s.stoodAt = b.now
 	s.raise(b.now)
+	b.setups.stood(ev.Took, b.now)
 	if !q.Return && b.warmth(s) >= 1 {
 		b.fleet.recent.add(b.now)
 	}
@@ -295,6 +288,9 @@
 		b.forget(q)
 		return
 	}
+	if ev.Status == Timeout {
+		b.setups.cutOff(ev.Server, b.now-q.sentAt, b.now)
+	}
 	q.mayRun = q.mayRun || ev.Status != Full && ev.Status != ConnectFailed && ev.Status != Moot
 	q.at = nil
 	b.window.out--
--- a/balance/state.go
+++ b/balance/state.go
@@ -45,6 +45,7 @@
 	waiting   bool // for notBefore and for the list
 	notBefore time.Duration
 	listUntil time.Duration // waits for a list until then
+	sentAt    time.Duration // its last attempt
 	load      float64       // booked at its server
 	slot      int           // its place among the server's connections
 	span      time.Duration // in which it was last counted in the pace; 0 if never
@@ -524,6 +525,51 @@
 
 func (w *window) full() bool { return w.out >= int(w.size) }
 
+// release sends what waited for the window.
+func (b *Balancer) release() {
+	for w := &b.window; len(w.queue) > 0 && !w.full(); {
+		q := w.queue[0]
+		w.queue = w.queue[1:]
+		if !q.over {
+			b.advance(q)
+		}
+	}
+}
+
+// setups is how long set-ups take now, as far as a relay that may see few of them can tell.
+type setups struct {
+	took time.Duration
+	at   time.Duration // it was last heard of
+
+	cut time.Duration // one was given up after this, at the server by, and none has stood since; 0: none was
+	by  ServerID
+}
+
+// setupLife is how long that holds: what slows all set-ups passes within it.
+const setupLife = 30 * time.Second
+
+// usual is the time that a set-up takes; 0 if none was seen lately.
+func (u *setups) usual(now time.Duration) time.Duration {
+	if now >= u.at+setupLife {
+		return 0
+	}
+	return u.took
+}
+
+// stood notes a set-up that stands. A quick one halves what a slow one has left behind.
+func (u *setups) stood(took, now time.Duration) {
+	u.took, u.at, u.cut = max(took, (u.usual(now)+took)/2), now, 0
+}
+
+// cutOff notes one that was given up after a time. One server may hang; where a second keeps a set-up as long, with
+// none that stood between them, it is what they take at the least.
+func (u *setups) cutOff(at ServerID, after, now time.Duration) {
+	if u.cut > 0 && u.by != at {
+		u.took, u.at = max(u.cut, after, u.usual(now)), now
+	}
+	u.cut, u.by = max(after, u.cut), at
+}
+
 // listReader keeps the list up to date where it must be asked for.
 type listReader struct {
 	out     bool // a call is out, since outAt
