--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,6 +20,7 @@
 const (
 	backoffBase  = 100 * time.Millisecond // wait before the second attempt, doubled for each further one
 	holdFor      = 100 * time.Millisecond // a request that no server may take looks again after this
+	setupGuess   = 4 * backoffBase        // that set-ups take where none was seen
 	listPatience = time.Second            // longest wait for a list that was asked for
 	listPause    = 500 * time.Millisecond // a list read less than this ago is fresh
 
@@ -223,7 +224,7 @@
 func (b *Balancer) patience(q *request) time.Duration {
 	left := q.giveUp - b.now
 	if q.attempts >= q.set.MaxAttempts || b.shared() ||
-		q.class.Effect == AtMostOnce || left/2 <= b.setups.usual(b.now) {
+		q.class.Effect == AtMostOnce || left/2 <= cmp.Or(b.setups.usual(b.now), setupGuess) {
 		return left
 	}
 	return max(left/2, min(left, b.set.Connect+holdFor))
