Tell tenants apart: t= on the line, a property by AMQP, in logs, why and spans

Need: a second deployment has three customers. An opening's t= was passed on unread: nothing told by tenant, and an unknown one was placed like any other.

Change: the settings' Customers are read; an opening of none of them, or of none at all, gets ERR on the line and a detach that names tenant and property by AMQP; logs, the record (eight bits of a head's facts that were free), why with a query and a count, and spans tell it. Where no customer is named all is as before. The module places all tenants alike.

TestOpeningsNameATenant, TestAttachesNameATenant and TestTenantIsKept fail without it.

--- a/balance/api.go
+++ b/balance/api.go
@@ -52,8 +52,9 @@
 // value, and a request keeps to its end those that it began under.
 type Settings struct {
 	Classes []Class
-	Relays  int // relays that share the servers, this one included
-	Zone    int // zone of this relay
+	Tenants []string // whose requests are told apart; none: requests have no tenant
+	Relays  int      // relays that share the servers, this one included
+	Zone    int      // zone of this relay
 
 	Ask         bool          // the server list comes only when asked for
 	AskEvery    time.Duration // with Ask: how often it must be asked for without a subscription
@@ -109,6 +110,11 @@
 	return slices.IndexFunc(s.Classes, func(c Class) bool { return c.Name == class })
 }
 
+// Serves tells whether a request may be of a tenant: one of those named, where any is.
+func (s *Settings) Serves(tenant string) bool {
+	return len(s.Tenants) == 0 || slices.Contains(s.Tenants, tenant)
+}
+
 // State is what the server list says of a server.
 type State uint8
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,7 +23,9 @@
 	Front string
 	Name  string // as the client calls it; no two under way share one
 	Class string
-	At    string // the server that already has it open, if Open
+	// Tenant is whose it is, by its name in the settings; "" where they name none.
+	Tenant string
+	At     string // the server that already has it open, if Open
 }
 
 // Link is an application server's side of a transaction, once it is up.
--- a/internal/logs/transactions.go
+++ b/internal/logs/transactions.go
@@ -22,13 +22,14 @@
 
 // Began follows a transaction.
 func (o *Transactions) Began(number uint64, ask core.Ask) core.Trace {
-	return &followed{Transactions: o, number: number, front: ask.Front, class: ask.Class, name: ask.Name, began: o.Clock.Now()}
+	return &followed{Transactions: o, number: number, front: ask.Front, class: ask.Class, tenant: ask.Tenant, name: ask.Name, began: o.Clock.Now()}
 }
 
 type followed struct {
 	*Transactions
 	number             uint64
 	front, class, name string
+	tenant             string // "" if it has none
 	began              time.Duration
 
 	last    atomic.Uint64 // reason and attempt of the last decision
@@ -49,6 +50,9 @@
 		server = f.Name(balance.ServerID(f.server.Load()))
 	}
 	args := append([]any{"number", f.number, "front", f.front, "name", f.name, "class", f.class, "server", server}, more...)
+	if f.tenant != "" {
+		args = append(args, "tenant", f.tenant)
+	}
 	if f.decided.Load() {
 		last := f.last.Load()
 		args = append(args, "reason", balance.Reason(last&0xff).String(), "attempt", last>>8)
--- a/internal/record/read.go
+++ b/internal/record/read.go
@@ -19,6 +19,7 @@
 	Number   uint64
 	Front    string
 	Class    string
+	Tenant   string // "" if it has none
 	Name     string // as the client calls it, or its first part
 	NameCut  bool
 	Group    uint64        // 0 if none
@@ -227,7 +228,7 @@
 		Steps: t.Steps[:0], believed: t.believed[:0], block: t.block,
 		Number: w[headNumber], Began: time.Duration(w[headBegan]), Group: w[headGroup], Item: w[headItem],
 		Patience: time.Duration(w[headPatience]), Load: math.Float64frombits(w[headLoad]),
-		Class: r.name(facts & 0xff), Front: r.name(facts >> 8 & 0xff),
+		Class: r.name(facts & 0xff), Front: r.name(facts >> 8 & 0xff), Tenant: r.name(facts >> 40 & 0xff),
 		Return: has(flagReturn), Open: has(flagOpen), Cut: has(flagCut), Full: has(flagFull),
 		Eventful: has(flagHeld) || has(flagBad), Pinned: listOf(w[0]) == pinned, Ended: has(flagEnded),
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -47,7 +47,7 @@
 	headItem
 	headPatience
 	headLoad
-	headFacts // class, front, flags, length of the name, passes
+	headFacts // class, front, flags, length of the name, tenant
 	headHash  // of the whole name
 	headName  // its first bytes
 )
@@ -177,7 +177,7 @@
 	s(headItem, t.ask.Item)
 	s(headPatience, uint64(max(0, t.ask.GiveUp-t.began)))
 	s(headLoad, math.Float64bits(t.ask.Load))
-	s(headFacts, r.word(t.ask.Class)|r.word(t.ask.Front)<<8|flags<<16|uint64(n)<<32)
+	s(headFacts, r.word(t.ask.Class)|r.word(t.ask.Front)<<8|flags<<16|uint64(n)<<32|r.word(t.ask.Tenant)<<40)
 	s(headHash, hashOf(t.ask.Name))
 	for i := range nameMost / 8 {
 		var w uint64
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -97,6 +97,18 @@
 	})
 }
 
+func TestTenantIsKept(t *testing.T) {
+	r := newRecord(t, LeastBytes)
+	for i, tenant := range []string{"", "fraser", "cedar"} {
+		trace := r.Began(uint64(i+1), core.Ask{Front: "line", Name: "a name", Class: "page", Tenant: tenant})
+		trace.Ended(core.Final{})
+		got, err := r.Number(uint64(i + 1))
+		if err != nil || got.Tenant != tenant || got.Class != "page" || got.Front != "line" || got.Name != "a name" {
+			t.Errorf("kept as %+v, %v, want the tenant %q", got, err, tenant)
+		}
+	}
+}
+
 func TestTransactionIsKeptWhole(t *testing.T) {
 	r := newRecord(t, LeastBytes)
 	const long = "a container that has been given a name of some length/and so has the link"
--- a/internal/spoken/amqp/front.go
+++ b/internal/spoken/amqp/front.go
@@ -444,7 +444,7 @@
 	props, _ := p.field(13).(mapping)
 	address := addressOf(p)
 	rule := f.place(address, container)
-	ask := core.Ask{Front: "amqp", Name: container + "/" + name, Class: text(props.get(propClass))}
+	ask := core.Ask{Front: "amqp", Name: container + "/" + name, Class: text(props.get(propClass)), Tenant: text(props.get(propTenant))}
 	ask.Under = f.Core.Terms()
 	if ask.Class == "" && rule != nil {
 		ask.Class = rule.Class
@@ -455,6 +455,9 @@
 	} else if ask.Ask.Class < 0 {
 		return ask, p, fmt.Errorf("%q is no known class", ask.Class)
 	}
+	if !ask.Under.Serves(ask.Tenant) {
+		return ask, p, fmt.Errorf("%q is no known tenant; the property %q names one", ask.Tenant, propTenant)
+	}
 	var give time.Duration
 	switch wait, ok := whole(props.get(propGiveUp)); {
 	case ok && wait <= 1<<31:
--- a/internal/spoken/amqp/secure_test.go
+++ b/internal/spoken/amqp/secure_test.go
@@ -254,6 +254,25 @@
 	}
 }
 
+// Where the settings name tenants an attach has to name one of them, as an opening on the line does.
+func TestAttachesNameATenant(t *testing.T) {
+	r := newRig(t, wires[1], 1, nil)
+	terms := *r.core.Terms()
+	terms.Tenants = []string{"fraser", "cedar"}
+	r.core.Retune(&terms)
+	f := &Front{Core: r.core}
+	for tenant, wrong := range map[any]string{nil: `"" is no known tenant`, "other": `"other" is no known tenant`, "cedar": ""} {
+		props := mapping{symbol(propClass), "page", symbol(propGiveUp), uint32(300)}
+		if tenant != nil {
+			props = append(props, symbol(propTenant), tenant)
+		}
+		ask, _, err := f.ask(perf{codeAttach, list{"a link", uint32(0), false, nil, nil, nil, nil, nil, nil, uint32(0), nil, nil, nil, props}}, "x", "a link")
+		if wrong == "" && (err != nil || ask.Tenant != tenant) || wrong != "" && (err == nil || !strings.Contains(err.Error(), wrong)) {
+			t.Errorf("tenant %v: %+v, %v", tenant, ask, err)
+		}
+	}
+}
+
 // BenchmarkGreeting is the time from a dial to a link that is open and closed again, by how a client comes in.
 // Compare within one run: the first is the base.
 func BenchmarkGreeting(b *testing.B) {
--- a/internal/spoken/amqp/server.go
+++ b/internal/spoken/amqp/server.go
@@ -25,6 +25,7 @@
 	serverSilent = 6 * time.Second // and is dead after this much
 
 	propClass  = "class"
+	propTenant = "tenant"
 	propGiveUp = "give-up-ms"
 	propGroup  = "group"
 	propItem   = "item"
--- a/internal/spoken/line/front.go
+++ b/internal/spoken/line/front.go
@@ -79,6 +79,10 @@
 			f.bad(c, "an opening that can't be read, or of no known class")
 			return
 		}
+		if !terms.Serves(o.tenant) {
+			f.bad(c, "an opening of no known tenant")
+			return
+		}
 		ask := f.ask(o, terms, class)
 		release, ok := f.Core.Admit(conn.RemoteAddr(), ask)
 		if !ok {
@@ -124,7 +128,7 @@
 
 // ask is what an opening asks for.
 func (f *Front) ask(o opening, terms *balance.Settings, class int) core.Ask {
-	return core.Ask{Front: "line", Name: o.id, Class: o.class, At: o.at, Ask: balance.Ask{
+	return core.Ask{Front: "line", Name: o.id, Class: o.class, Tenant: o.tenant, At: o.at, Ask: balance.Ask{
 		Under: terms, Class: class, Item: o.item, Group: o.group, Load: o.load, Return: o.back,
 		GiveUp: f.Core.Clock.Now() + o.wait, Open: o.at != "",
 	}}
--- a/internal/spoken/line/front_test.go
+++ b/internal/spoken/line/front_test.go
@@ -188,6 +188,28 @@
 	}
 }
 
+// Where the settings name tenants an opening has to name one of them; the server hears of it as the client said it.
+func TestOpeningsNameATenant(t *testing.T) {
+	s := newSite(t, 8)
+	terms := *s.core.Terms()
+	terms.Tenants = []string{"fraser", "cedar"}
+	s.core.Retune(&terms)
+	for _, text := range []string{"OPEN 1 2 c=page,d=4000\r\n", "OPEN 1 2 c=page,t=other,d=4000\r\n", "OPEN 1 2 c=page,t=,d=4000\r\n"} {
+		client := s.client()
+		client.say(text)
+		client.want("ERR\r\n")
+		client.wantEnd(false)
+	}
+	client := s.client()
+	client.say("OPEN 1 2 c=page,t=cedar,d=4000\r\n")
+	server := s.peer(s.server.Accept())
+	if text, err := server.r.ReadString('\n'); err != nil || !strings.HasPrefix(text, "OPEN 1 2 c=page,t=cedar,d=") {
+		t.Errorf("the server was told %q, %v", text, err)
+	}
+	server.say("UP x\r\n")
+	client.want("UP x\r\n")
+}
+
 func TestPingIsAnswered(t *testing.T) {
 	client := newSite(t, 8).client()
 	client.say("PING\r\nPING\r\n")
--- a/internal/spoken/line/parse.go
+++ b/internal/spoken/line/parse.go
@@ -17,6 +17,7 @@
 type opening struct {
 	id, key string
 	class   string
+	tenant  string // whose it is; "" if not told
 	wait    time.Duration
 	group   uint64
 	item    uint64
@@ -49,6 +50,8 @@
 		switch name {
 		case "c":
 			o.class = value
+		case "t":
+			o.tenant = value
 		case "d":
 			ms, bad := strconv.ParseUint(value, 10, 31)
 			if bad != nil || o.head != "" {
--- a/internal/spoken/otlp/otlp.go
+++ b/internal/spoken/otlp/otlp.go
@@ -145,6 +145,9 @@
 		trace.WithAttributes(attribute.String("front", a.Front), attribute.String("class", a.Class),
 			attribute.String("transaction", a.Name),
 			attribute.Int64("number", int64(number))))
+	if a.Tenant != "" {
+		span.SetAttributes(attribute.String("tenant", a.Tenant))
+	}
 	return &traced{observer: o, ctx: ctx, span: span, number: number}
 }
 
--- a/internal/why/account.go
+++ b/internal/why/account.go
@@ -30,6 +30,7 @@
 	Name     string    `json:"name"`
 	NameCut  bool      `json:"name_cut,omitempty"`
 	Class    string    `json:"class"`
+	Tenant   string    `json:"tenant,omitempty"`
 	Group    string    `json:"group,omitempty"`
 	Flow     string    `json:"flow,omitempty"`
 	Came     time.Time `json:"came"`
@@ -130,7 +131,7 @@
 func (w *Teller) account(t *record.Transaction) *Account {
 	clock := w.Record.Clock()
 	a := &Account{
-		Number: t.Number, Front: t.Front, Name: t.Name, NameCut: t.NameCut, Class: t.Class, Came: clock.Wall(t.Began),
+		Number: t.Number, Front: t.Front, Name: t.Name, NameCut: t.NameCut, Class: t.Class, Tenant: t.Tenant, Came: clock.Wall(t.Began),
 		Patience: ms(t.Patience), Load: t.Load * 1e6, Return: t.Return, Pinned: t.Pinned, Eventful: t.Eventful,
 		Cut: t.Cut, Full: t.Full, Answer: t.AnswerName(), ago: clock.Now() - t.Began,
 	}
@@ -463,6 +464,9 @@
 // Write writes an account in words: a head, then a line a step.
 func (a *Account) Write(w io.Writer) {
 	fmt.Fprintf(w, "transaction %d, front %s, name %s%s, class %s", a.Number, a.Front, cmp.Or(a.Name, "-"), map[bool]string{true: "..."}[a.NameCut], a.Class)
+	if a.Tenant != "" {
+		fmt.Fprintf(w, ", tenant %s", a.Tenant)
+	}
 	if a.Group != "" {
 		fmt.Fprintf(w, ", group %s", a.Group)
 	}
--- a/internal/why/ask.go
+++ b/internal/why/ask.go
@@ -239,7 +239,7 @@
 }
 
 // facets are what transactions are counted by.
-var facets = []string{"class", "front", "answer", "cause", "group", "server", "reason", "verdict", "outcome", "passes"}
+var facets = []string{"class", "front", "answer", "cause", "group", "server", "reason", "verdict", "outcome", "passes", "tenant"}
 
 // counter counts transactions by facets. One counts once in each row that one of its
 // decisions falls in; one without a decision in a row of its own. It makes next to no
@@ -303,6 +303,8 @@
 	switch facet {
 	case "class":
 		return t.Class
+	case "tenant":
+		return t.Tenant
 	case "front":
 		return t.Front
 	case "answer":
--- a/internal/why/query.go
+++ b/internal/why/query.go
@@ -48,6 +48,7 @@
 		{"flow", "KEY ...", "the flow's key, in hexadecimal", keyed(func(t *record.Transaction) uint64 { return t.Item })},
 		{"group", "KEY ...", "the group, in hexadecimal", keyed(func(t *record.Transaction) uint64 { return t.Group })},
 		{"class", "CLASS ...", "its class", oneOf(nil, func(t *record.Transaction) []string { return []string{t.Class} })},
+		{"tenant", "TENANT ...", "whose it is", oneOf(nil, func(t *record.Transaction) []string { return []string{t.Tenant} })},
 		{"front", "FRONT ...", "the front that it came by", oneOf(nil, func(t *record.Transaction) []string { return []string{t.Front} })},
 		{"server", "SERVER ...", "sent to one of these", onServer},
 		{"answer", "ANSWER ...", "how it ended, or how far it has come: " + strings.Join(answers, ", "),
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -132,6 +132,9 @@
 	if s.MaxAttempts < 1 {
 		r.failf("Limits.TryLimit", "is not over 0")
 	}
+	for i, c := range maybe[[]object](r, o, "", "Customers") {
+		s.Tenants = append(s.Tenants, need[string](r, c, fmt.Sprintf("Customers[%d].", i), "Name"))
+	}
 	s.Classes = classes(r, o, maybe[[]float64](r, facts, "Specifics.", "MessageAimUs"))
 	if len(r.errs) > 0 {
 		return balance.Settings{}, r.errs
--- a/internal/wire/settings_test.go
+++ b/internal/wire/settings_test.go
@@ -36,6 +36,7 @@
 	}
 	const us = time.Microsecond
 	want := balance.Settings{
+		Tenants: []string{"x", "y"},
 		Classes: []balance.Class{
 			{Name: "a", Aim: 300000 * us, Deadline: 1200000 * us, MessageAim: 100000 * us},
 			{Name: "b", Aim: 400000 * us, Deadline: 1300000 * us, MessageAim: 50000 * us,
