Have the test of a large offer share its text with the host without a race

Seen: go test -race ./internal/handover: TestLargeOffer set a field that the host's goroutine reads. Change: an atomic pointer. Measured: -race passes twice.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -1,7 +1,6 @@
 package handover
 
 import (
-	"cmp"
 	"context"
 	"encoding/binary"
 	"encoding/json"
@@ -22,7 +21,7 @@
 
 // giver is a relay with one door.
 type giver struct {
-	state json.RawMessage // if not a small one
+	state atomic.Pointer[string] // if not a small one
 	door  *net.TCPListener
 	given atomic.Int32 // how often it was told so, less how often the contrary
 	fail  atomic.Bool
@@ -33,7 +32,11 @@
 	if g.fail.Load() {
 		err = errors.New("no turn comes")
 	}
-	return &Offer{Clock: time.Hour, Doors: []string{"line"}, State: json.RawMessage(cmp.Or(string(g.state), `{"x":1}`))}, []syscall.Conn{g.door}, err
+	state := `{"x":1}`
+	if s := g.state.Load(); s != nil {
+		state = *s
+	}
+	return &Offer{Clock: time.Hour, Doors: []string{"line"}, State: json.RawMessage(state)}, []syscall.Conn{g.door}, err
 }
 
 func (g *giver) Given(given bool) {
@@ -162,9 +165,10 @@
 // What a relay of tens of thousands of servers hands over is not turned down for its size.
 func TestLargeOffer(t *testing.T) {
 	h, g := host(t)
-	g.state, _ = json.Marshal(strings.Repeat("x", 9<<20))
-	if got := guest(t, h); len(got.Offer.State) != len(g.state) {
-		t.Errorf("%d bytes of %d are offered", len(got.Offer.State), len(g.state))
+	state := `"` + strings.Repeat("x", 9<<20) + `"`
+	g.state.Store(&state)
+	if got := guest(t, h); len(got.Offer.State) != len(state) {
+		t.Errorf("%d bytes of %d are offered", len(got.Offer.State), len(state))
 	}
 }
 
