Write the kept list's update in one pass, and the wait for watches in the tests once

Rereading: the update of the list that is kept for another process went over the news twice and took its lines out of a map on the way; one pass by place does the same. Store.Put looked at one error twice. Two tests of discovery waited for watches by the same loop; wantWatches does it for both, with the same assertions.

Behaviour as before.

--- a/internal/spoken/discovery/discovery.go
+++ b/internal/spoken/discovery/discovery.go
@@ -128,20 +128,16 @@
 		return
 	}
 	w.kept.Revision, w.kept.Complete = l.Revision, true
-	news := make(map[string]Member, len(l.Members))
-	for _, m := range l.Members {
-		news[m.ID] = m // its last line, where there are several
-	}
+	at := make(map[string]int, len(w.kept.Members)) // lists may have thousands
 	for i, k := range w.kept.Members {
-		if m, ok := news[k.ID]; ok {
-			w.kept.Members[i] = m
-			delete(news, k.ID)
-		}
+		at[k.ID] = i
 	}
-	for _, m := range l.Members { // in the order that they came in
-		if last, ok := news[m.ID]; ok {
-			w.kept.Members = append(w.kept.Members, last)
-			delete(news, m.ID)
+	for _, m := range l.Members {
+		if i, there := at[m.ID]; there {
+			w.kept.Members[i] = m
+		} else {
+			at[m.ID] = len(w.kept.Members)
+			w.kept.Members = append(w.kept.Members, m)
 		}
 	}
 	w.kept.Members = slices.DeleteFunc(w.kept.Members, func(m Member) bool { return m.Phase == "gone" })
--- a/internal/spoken/discovery/discovery_test.go
+++ b/internal/spoken/discovery/discovery_test.go
@@ -70,6 +70,21 @@
 	return l.Addr().String(), requests
 }
 
+// wantWatches waits for watches to be opened, each from its revision.
+func wantWatches(t *testing.T, asked <-chan string, from ...string) {
+	t.Helper()
+	for _, want := range from {
+		select {
+		case got := <-asked:
+			if !strings.Contains(got, want) {
+				t.Fatalf("asked %q, want %s", got, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("no watch %s", want)
+		}
+	}
+}
+
 func farmOf(k *core.Core) string {
 	var all []string
 	for _, s := range k.Farm.List() {
@@ -140,16 +155,7 @@
 	done.Go(func() { (&Watcher{Core: k, Address: address, Zones: []string{"a", "b"}}).Run(ctx) })
 	defer done.Wait()
 	defer cancel()
-	for _, want := range []string{"from=0", "from=8"} {
-		select {
-		case got := <-asked:
-			if !strings.Contains(got, want) {
-				t.Fatalf("asked %q, want %s", got, want)
-			}
-		case <-time.After(5 * time.Second):
-			t.Fatalf("no watch %s", want)
-		}
-	}
+	wantWatches(t, asked, "from=0", "from=8")
 	if got := farmOf(k); got != "s-1=ready s-2=draining" {
 		t.Errorf("the farm is %s", got)
 	}
@@ -186,16 +192,7 @@
 			done.Go(func() { (&Watcher{Core: k, Address: address, Zones: []string{"a", "b"}}).Run(ctx) })
 			defer done.Wait()
 			defer cancel()
-			for _, want := range []string{"from=0", "from=7", "from=8"} {
-				select {
-				case got := <-asked:
-					if !strings.Contains(got, want) {
-						t.Fatalf("asked %q, want %s", got, want)
-					}
-				case <-time.After(5 * time.Second):
-					t.Fatalf("no watch %s", want)
-				}
-			}
+			wantWatches(t, asked, "from=0", "from=7", "from=8")
 			if text := <-log; !strings.Contains(text, "watch of the farm has ended") {
 				t.Errorf("the log says %q", text)
 			}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -236,9 +236,10 @@
 func (s *Store) Put(changes ...Change) {
 	c := &commit{changes: changes}
 	err := s.offer(c)
-	if err != nil {
-		s.drop(changes)
+	if err == nil {
+		return
 	}
+	s.drop(changes)
 	if errors.Is(err, ErrTooLarge) { // it would be so the next time too
 		s.log.Warn("a record is too large to be kept", "kind", changes[0].Kind, "bytes", c.size(), "most", frameMost)
 	}
