Have a scene's acts at its start take effect before its first client comes

The scene's acts began on a goroutine beside the client, and an act was told of before it was carried out. Change: Site.Run tells of an act once it has begun; a scene waits for those at 0 s. No assertion changed. Measured: tests of standin, demo and trouble pass.

--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -121,7 +121,7 @@
 	return a, nil
 }
 
-// Run carries a script out and tells of each act as it begins, until all are done or
+// Run carries a script out and tells of each act once it has begun, until all are done or
 // ctx ends.
 func (s *Site) Run(ctx context.Context, acts []Act, tell func(Act)) {
 	began := time.Now()
@@ -131,8 +131,8 @@
 			return
 		case <-time.After(time.Until(began.Add(a.At))):
 		}
-		tell(a)
 		s.perform(ctx, a)
+		tell(a)
 	}
 }
 
--- a/internal/trouble/scene.go
+++ b/internal/trouble/scene.go
@@ -79,7 +79,17 @@
 	coming, done := context.WithTimeout(ctx, s.For)
 	defer done()
 	st.Proxy.Restart()
-	st.acts.Go(func() { st.Site.Run(coming, acts, func(standin.Act) {}) })
+	acted := make(chan struct{}, len(acts))
+	st.acts.Go(func() { st.Site.Run(coming, acts, func(standin.Act) { acted <- struct{}{} }) })
+	for _, a := range acts { // a server that hangs from the start does before the first client comes
+		if a.At > 0 {
+			continue
+		}
+		select {
+		case <-acted:
+		case <-coming.Done():
+		}
+	}
 	if s.Rate > 0 {
 		st.acts.Go(func() { st.Site.Crowd.Run(coming) })
 	}
