--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -76,7 +76,7 @@
 	give    atomic.Pointer[Give] // hands over what stands, as everyone moves; nil: nobody takes it
 	leaving context.Context      // ends once everyone is to move
 	moveAll context.CancelFunc
-	spread  atomic.Int64    // time over which they do
+	moving  atomic.Pointer[moving]
 	closing context.Context // ends once who waits is to be answered
 	turnAll context.CancelFunc
 }
@@ -187,29 +187,40 @@
 	return wait
 }
 
+// moving is the time in which everyone moves.
+type moving struct{ from, over time.Duration }
+
 // MoveAll has every transaction that stands, and every one that will, sent away:
 // one after another over a time, lest those who take them in are swamped.
 func (c *Core) MoveAll(over time.Duration) {
-	c.spread.CompareAndSwap(0, int64(over))
+	c.moving.CompareAndSwap(nil, &moving{c.Clock.Now(), over})
 	c.moveAll()
 }
 
 // Spread is the time over which everyone moves.
-func (c *Core) Spread() time.Duration { return time.Duration(c.spread.Load()) }
+func (c *Core) Spread() time.Duration {
+	if m := c.moving.Load(); m != nil {
+		return m.over
+	}
+	return 0
+}
 
 // TurnAway answers every transaction that is not up, now or later. It guards
 // against those that are still waiting when the relay is killed.
 func (c *Core) TurnAway() { c.turnAll() }
 
 // turn waits for a transaction's turn to be handed over or moved, or for its end. Turns are spread evenly, whatever
-// the numbers of those that are there.
+// the numbers of those that are there. They count from when everyone began to move: one that comes up after its turn
+// moves at once, as the relay may end before another such time is over.
 func (c *Core) turn(ctx context.Context, over <-chan struct{}, number uint64) {
 	const golden = 0.6180339887498949
 	_, part := math.Modf(float64(number) * golden)
+	m := c.moving.Load()
+	at := m.from + time.Duration(part*float64(m.over))
 	select {
 	case <-ctx.Done():
 	case <-over:
-	case <-time.After(time.Duration(part * float64(c.Spread()))):
+	case <-time.After(at - c.Clock.Now()):
 	}
 }
 
--- a/internal/spoken/amqp/both_test.go
+++ b/internal/spoken/amqp/both_test.go
@@ -53,9 +53,18 @@
 	ends  chan struct{}
 	last  string // the address that the last transaction came to
 	spare string // none may come to this one
+	hold  func() // what a server waits for before it does anything; nil: nothing. Set before the first comes
 }
 
 func (s *script) next(t testing.TB, at net.Addr) behaviour {
+	act := s.takes(t, at)
+	if s.hold != nil {
+		s.hold()
+	}
+	return act
+}
+
+func (s *script) takes(t testing.TB, at net.Addr) behaviour {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.last = at.String(); s.last == s.spare {
