--- a/balance/api.go
+++ b/balance/api.go
@@ -205,6 +205,9 @@
 	Done    bool // the request is over
 }
 
+// Dismissed says that a request gets its final answer now, if it is not up: its relay leaves.
+type Dismissed struct{ Request RequestID }
+
 // ClientLeft says that a request is over because its client went away.
 type ClientLeft struct{ Request RequestID }
 
@@ -231,6 +234,7 @@
 func (Resumed) event()    {}
 func (Standing) event()   {}
 func (Outcome) event()    {}
+func (Dismissed) event()  {}
 func (ClientLeft) event() {}
 func (LoadNote) event()   {}
 func (DelayNote) event()  {}
@@ -244,6 +248,7 @@
 	Request RequestID
 	Server  ServerID
 	Timeout time.Duration // 0 means until the client gives up
+	Latest  time.Duration // it is not to be sent after this, on the relay's clock; 0: at any time
 }
 
 // Refuse is a final answer: turned away, trying again is harmless.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,10 +1,8 @@
-// This file holds every decision of a relay. Its types, events and actions are
-// in api.go.
+// This file holds every decision of a relay. Its types, events and actions are in api.go.
 //
-// The ordinary path: a connection goes to the server cached for its group; any
-// failure invalidates that route; a retry backs off, skips the cache and draws
-// at random by weight among the servers not yet tried; a controller moves the
-// weights. What goes beyond it says what it guards against.
+// The ordinary path: a connection goes to the server cached for its group; any failure invalidates that
+// route; a retry backs off, skips the cache and draws at random by weight among the servers not yet tried; a
+// controller moves the weights. What goes beyond it says what it guards against.
 
 package balance
 
@@ -21,6 +19,7 @@
 	backoffBase  = 100 * time.Millisecond // wait before the second attempt, doubled for each further one
 	holdFor      = 100 * time.Millisecond // a request that no server may take looks again after this
 	setupGuess   = 4 * backoffBase        // that set-ups take where none was seen
+	onTheWay     = 50 * time.Millisecond  // that what is sent may take to arrive
 	listPatience = time.Second            // longest wait for a list that was asked for
 	listPause    = 500 * time.Millisecond // a list read less than this ago is fresh
 
@@ -110,6 +109,10 @@
 		b.stands(ev)
 	case Outcome:
 		b.ended(ev)
+	case Dismissed:
+		if q := b.requests[ev.Request]; q != nil && !q.up {
+			b.end(q, RelayLeaves)
+		}
 	case ClientLeft:
 		b.forget(b.requests[ev.Request])
 	case LoadNote:
@@ -199,7 +202,7 @@
 	q.at, q.sentAt = s, b.now
 	b.window.out++
 	s.lastSent = b.now
-	b.do(Send{Request: q.ID, Server: s.ID, Timeout: wait})
+	b.do(Send{Request: q.ID, Server: s.ID, Timeout: wait, Latest: q.known()})
 }
 
 // hope tells whether waiting can still find a request a server: one that is ready
@@ -233,11 +236,17 @@
 // mayTry tells whether another attempt is allowed at a time: rule 1 wants time
 // left, rule 2 that a repeat is harmless.
 func (b *Balancer) mayTry(q *request, at time.Duration) bool {
-	if q.attempts >= q.set.MaxAttempts || at >= q.giveUp {
-		return false
+	return q.attempts < q.set.MaxAttempts && at < q.giveUp &&
+		(!q.mayRun || q.class.Effect == Idempotent || at < q.known())
+}
+
+// known is until when its servers drop a repeat of what may have run, with time for it to arrive;
+// 0 where none does. It is looked at again when the repeat goes out: a connection comes up late.
+func (q *request) known() time.Duration {
+	if !q.mayRun || q.class.Effect != Deduplicated {
+		return 0
 	}
-	return !q.mayRun || q.class.Effect == Idempotent ||
-		q.class.Effect == Deduplicated && at < q.ranSince+q.class.Memory
+	return max(1, q.ranSince+q.class.Memory-onTheWay)
 }
 
 // mayUse tells whether rule 2 allows a server for the next attempt: a repeat of
@@ -317,8 +326,7 @@
 	}
 }
 
-// retry lets a request wait for its backoff and, where lists are asked for, for
-// a list.
+// retry lets a request wait for its backoff and, where lists are asked for, for a list.
 func (b *Balancer) retry(q *request) {
 	wait := backoffBase << (q.attempts - 1)
 	if !b.mayTry(q, b.now+wait) {
@@ -335,10 +343,9 @@
 	b.rest(q, wait, Backoff, nil)
 }
 
-// comeBack is the advice that a refusal carries, and guards against clients that
-// come back to servers as full as they were: when the first of the ready servers
-// is no longer held slow, after the backoff of the attempts made; the longest
-// where none is ready.
+// comeBack is the advice that a refusal carries, and guards against clients that come back to servers as full
+// as they were: when the first of the ready servers is no longer held slow, after the backoff of the attempts
+// made; the longest where none is ready.
 func (b *Balancer) comeBack(q *request) time.Duration {
 	soonest := b.set.MaxRetryAfter
 	for _, s := range b.fleet.servers {
@@ -388,11 +395,10 @@
 	return b.draw(q), why
 }
 
-// draw draws a server at random by weight: the least of exponential draws, each
-// at the rate of its weight, falls on each in proportion to its weight. While few
-// are slow the draw passes them over: waiting for one while others are free guards
-// against nothing. It does where many are slow, as a crowd that moves on then makes
-// the next slow.
+// draw draws a server at random by weight: the least of exponential draws, each at the rate of its weight,
+// falls on each in proportion to its weight. While few are slow the draw passes them over: waiting for one
+// while others are free guards against nothing. It does where many are slow, as a crowd that moves on then
+// makes the next slow.
 func (b *Balancer) draw(q *request) *server {
 	load, size, _, slow := b.totals()
 	b.paced(q)
@@ -456,11 +462,10 @@
 
 // Slow servers.
 
-// delayed guards against a server that slows but accepts, and so keeps its
-// groups. Messages slower than wanted are a failure: weight is cut, and so many
-// connections leave that what is piled up can be worked off in time. It grows
-// as the load exceeds what the server does, so two notes tell by how much. Parts
-// of a connection leave by chance, lest many relays all let go of their one.
+// delayed guards against a server that slows but accepts, and so keeps its groups. Messages slower than
+// wanted are a failure: weight is cut, and so many connections leave that what is piled up can be worked off
+// in time. It grows as the load exceeds what the server does, so two notes tell by how much. Parts of a
+// connection leave by chance, lest many relays all let go of their one.
 func (b *Balancer) delayed(s *server, delay time.Duration) {
 	growth := delay.Seconds() // in seconds a second, from nothing a second ago
 	if since := b.now - s.delayAt; s.delay > 0 && since > 0 && since < slowLife {
@@ -544,10 +549,9 @@
 // shared tells whether set-ups lately failed on many servers at once.
 func (b *Balancer) shared() bool { return b.now < b.window.sharedUntil }
 
-// sharedCause guards against blaming servers for what they share, such as a slow
-// session store, and against retries that feed it: once set-ups fail on as many
-// servers as accept them, fewer are under way at a time, and weights and routes
-// stay.
+// sharedCause guards against blaming servers for what they share, such as a slow session store, and against
+// retries that feed it: once set-ups fail on as many servers as accept them, fewer are under way at a time,
+// and weights and routes stay.
 func (b *Balancer) sharedCause(s *server) bool {
 	s.failedAt = b.now
 	good, bad := 0, 0
@@ -593,10 +597,9 @@
 	return b.set.ColdShare + (1-b.set.ColdShare)*age
 }
 
-// coldAllows keeps rule 4: within the time in which a cold server could fall over it
-// gets, from all relays together, part of the new connections that warm servers of
-// its size bear, less what it is cold. Of many relays each sends its part of its
-// requests: turns by chance go by unused where requests are few.
+// coldAllows keeps rule 4: within the time in which a cold server could fall over it gets, from all relays
+// together, part of the new connections that warm servers of its size bear, less what it is cold. Of many
+// relays each sends its part of its requests: turns by chance go by unused where requests are few.
 func (b *Balancer) coldAllows(q *request, s *server) bool {
 	if b.warmth(s) >= 1 {
 		return true
--- a/balance/facade.go
+++ b/balance/facade.go
@@ -49,6 +49,7 @@
 	Kind   StepKind
 	Server ServerID
 	Wait   time.Duration // the pass's time-out, or when to come back; 0 if there is none
+	Latest time.Duration // on the clock that Tick is given: a pass is not sent later; 0: at any time
 }
 
 // Ticket stands for one transaction at a Facade.
@@ -82,6 +83,9 @@
 	How    Status
 }
 
+// Dismiss asks for the final answer to a transaction that is not up: the relay leaves.
+type Dismiss struct{ Ticket *Ticket }
+
 // Left says that the client has gone, and its pass with it.
 type Left struct{ Ticket *Ticket }
 
@@ -119,6 +123,7 @@
 func (Retune) news()   {}
 func (Stands) news()   {}
 func (Ended) news()    {}
+func (Dismiss) news()  {}
 func (Left) news()     {}
 func (Load) news()     {}
 func (Delay) news()    {}
@@ -334,6 +339,10 @@
 				f.finish(t, Step{Kind: StepOver})
 			}
 		}
+	case Dismiss:
+		if t := m.Ticket; !t.over {
+			f.handle(Dismissed{Request: t.id})
+		}
 	case Left:
 		if t := m.Ticket; !t.over && t.id != 0 {
 			f.handle(ClientLeft{Request: t.id})
@@ -379,7 +388,7 @@
 		case Send:
 			t := f.tickets[a.Request]
 			t.at = a.Server
-			f.wake(t, Step{Kind: StepPass, Server: a.Server, Wait: a.Timeout})
+			f.wake(t, Step{Kind: StepPass, Server: a.Server, Wait: a.Timeout, Latest: a.Latest})
 		case Refuse:
 			f.finish(f.tickets[a.Request], Step{Kind: StepUnavailable, Wait: a.RetryAfter})
 		case Fail:
--- a/balance/why.go
+++ b/balance/why.go
@@ -55,6 +55,7 @@
 	MayNotRepeat        // it may have run, and must not run twice
 	Relief              // its server is slow, and has to lose connections
 	ServerDrains        // its server drains
+	RelayLeaves         // its relay leaves
 	reasons
 )
 
@@ -63,6 +64,7 @@
 	"none", "cached-route", "drawn", "route-gone", "route-slow", "route-eased", "route-full", "route-cold",
 	"drawn-again", "window-full", "none-usable", "server-slow", "server-eased", "backoff", "no-hope",
 	"out-of-time", "out-of-tries", "may-not-repeat", "relief", "server-drains",
+	"relay-leaves",
 }
 
 // String is the name of a reason.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -39,8 +39,9 @@
 type Exchange interface {
 	// Pass carries the transaction to an application server and waits for the
 	// answer. It returns a Link only with balance.OK. It ends when ctx does, and
-	// has closed its connection when it returns without a Link.
-	Pass(ctx context.Context, to memory.Server, wait time.Duration) (Link, balance.Status)
+	// has closed its connection when it returns without a Link. Just before the first
+	// byte of the transaction it asks out.May, and sends nothing where that is false.
+	Pass(ctx context.Context, out Out) (Link, balance.Status)
 	// Join tells the client that it is up, then pulse.Up, and passes on what both
 	// sides say until the end of either. It returns how that end came about.
 	Join(ctx context.Context, link Link, pulse *Pulse) balance.Status
@@ -52,6 +53,22 @@
 	Move()
 }
 
+// Out is a pass that is to go out.
+type Out struct {
+	To     memory.Server
+	Wait   time.Duration // for the answer
+	Latest time.Duration // on the core's clock: it is not sent later; 0: at any time
+	Resume bool          // it has been open there since before the relay's start
+	clock  Clock
+}
+
+// May tells whether a pass may still be sent. Since it was picked its client may have left or its
+// server may have begun to drain, and a repeat may have become one that its server would run anew:
+// a connection can come up late.
+func (o Out) May(ctx context.Context) bool {
+	return ctx.Err() == nil && (o.Resume || !o.To.IsLeaving()) && (o.Latest == 0 || o.clock.Now() < o.Latest)
+}
+
 // Core runs transactions over the module.
 type Core struct {
 	Clock        Clock
@@ -369,31 +386,40 @@
 	if !t.ask.Open {
 		defer context.AfterFunc(c.closing, answer)()
 	}
+	cause := Decided
 	for {
 		step, err := c.facade.Pick(waiting, t.ticket)
+		if err != nil && ctx.Err() == nil {
+			// The relay leaves, and the client is still there. Which answer it is owed is the module's to say:
+			// its pass may have run, or have been accepted in this very moment.
+			c.facade.Report(balance.Dismiss{Ticket: t.ticket})
+			waiting, cause = ctx, RelayLeaves
+			continue
+		}
 		if err != nil {
 			t.pass.stop()
 			c.facade.Report(balance.Left{Ticket: t.ticket})
-			if ctx.Err() == nil { // the client is still there
-				t.unavailable(0)
-				return Final{End: memory.Unavailable, Cause: RelayLeaves}
-			}
 			return Final{End: memory.ClientLeft, How: balance.Cancelled}
 		}
 		switch step.Kind {
 		case balance.StepPass:
-			t.start(ctx, step)
+			if cause != RelayLeaves { // else it is about to be answered
+				t.start(ctx, step)
+			}
 		case balance.StepUp:
 			t.trace.Up()
 			waiting = ctx // it moves with the others
 			close(t.pass.granted)
 		case balance.StepUnavailable:
+			if cause == RelayLeaves {
+				step.Wait = 0 // another relay may have room at once
+			}
 			t.unavailable(step.Wait)
-			return Final{End: memory.Unavailable, ComeBack: step.Wait}
+			return Final{End: memory.Unavailable, Cause: cause, ComeBack: step.Wait}
 		case balance.StepFailed:
 			t.x.Failed()
 			t.kind.Failed()
-			return Final{End: memory.Failed}
+			return Final{End: memory.Failed, Cause: cause}
 		case balance.StepMove:
 			t.pass.move(t.x)
 			return Final{End: memory.Moved, How: balance.Cancelled}
@@ -444,7 +470,7 @@
 		id, named := t.core.Farm.Lookup(t.ask.At)
 		if to, ok := t.core.Farm.Find(id); named && ok {
 			t.core.Transactions.Set(t.number, memory.Out, to.ID)
-			link, how := t.attempt(ctx, to, resumeWait)
+			link, how := t.attempt(ctx, Out{To: to, Wait: resumeWait, Resume: true})
 			if how != balance.Error {
 				doubt.Stop() // it may yet come up
 			}
@@ -474,7 +500,7 @@
 		}
 		t.core.Transactions.Set(t.number, memory.Out, to.ID)
 		began := t.core.Clock.Now()
-		link, how := t.attempt(ctx, to, step.Wait)
+		link, how := t.attempt(ctx, Out{To: to, Wait: step.Wait, Latest: step.Latest})
 		if how != balance.OK {
 			return how
 		}
@@ -508,14 +534,14 @@
 }
 
 // attempt has the front carry out a pass within its time.
-func (t *transaction) attempt(ctx context.Context, to memory.Server, wait time.Duration) (Link, balance.Status) {
-	if wait <= 0 {
-		wait = t.ticket.Left(t.core.Clock.Now())
+func (t *transaction) attempt(ctx context.Context, out Out) (Link, balance.Status) {
+	if out.clock = t.core.Clock; out.Wait <= 0 {
+		out.Wait = t.ticket.Left(out.clock.Now())
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	ctx, cancel := context.WithTimeout(ctx, out.Wait)
 	defer cancel()
-	ended := t.trace.Pass(to.ID)
-	link, how := t.x.Pass(ctx, to, wait)
+	ended := t.trace.Pass(out.To.ID)
+	link, how := t.x.Pass(ctx, out)
 	ended(how)
 	assert.That((link != nil) == (how == balance.OK), "a pass gives a link exactly when it is up")
 	return link, how
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -77,7 +77,7 @@
 
 func (fakeLink) Close() {}
 
-func (x *fake) Pass(ctx context.Context, to memory.Server, wait time.Duration) (Link, balance.Status) {
+func (x *fake) Pass(ctx context.Context, out Out) (Link, balance.Status) {
 	x.mu.Lock()
 	if x.out++; x.out > 1 {
 		x.t.Error("two passes are out at once")
@@ -91,10 +91,10 @@
 		x.out--
 		x.mu.Unlock()
 	}()
-	if wait <= 0 {
-		x.t.Errorf("a pass has %v", wait)
+	if out.Wait <= 0 {
+		x.t.Errorf("a pass has %v", out.Wait)
 	}
-	if to.IsLeaving() {
+	if !out.May(ctx) {
 		return nil, balance.Moot
 	}
 	a := x.acts()
--- a/internal/spoken/amqp/endings_test.go
+++ b/internal/spoken/amqp/endings_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"net"
+	"os"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -86,6 +90,40 @@
 	})
 }
 
+// A relay that leaves answers who waits. What it may say depends on whether the pass that is out may have run: where a
+// repeat is not harmless, the unavailable answer would have it run twice.
+func TestWhoWaitsIsAnsweredByItsClass(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		class balance.Class
+		want  string
+	}{
+		{"idempotent", balance.Class{Effect: balance.Idempotent}, "unavailable"},
+		{"at most once", balance.Class{Effect: balance.AtMostOnce}, "failed"},
+		{"deduplicated by all", balance.Class{Effect: balance.Deduplicated, Scope: balance.ScopeAll, Memory: time.Minute}, "unavailable"},
+		{"deduplicated in a cell", balance.Class{Effect: balance.Deduplicated, Scope: balance.ScopeCell, Memory: time.Minute}, "failed"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			each(t, func(t *testing.T, w wire) {
+				g := newGate()
+				defer close(g.open)
+				r := newRig(t, w, 1, nil)
+				r.script.hold = g.hold
+				r.retune(func(s *balance.Settings) {
+					s.Classes[0].Effect, s.Classes[0].Scope, s.Classes[0].Memory = c.class.Effect, c.class.Scope, c.class.Memory
+					s.Classes[0].Deadline = time.Minute
+				})
+				waits := result(r, w, context.Background(), time.Minute)
+				await(t, "it comes to a server", g.came)
+				r.core.TurnAway()
+				if s := await(t, "its answer", waits); s.answer != c.want {
+					t.Errorf("the client is told %q, want %q", s.answer, c.want)
+				}
+			})
+		})
+	}
+}
+
 // retune puts other settings in force.
 func (r *rig) retune(change func(*balance.Settings)) {
 	s := *r.core.Terms()
@@ -93,3 +131,131 @@
 	change(&s)
 	r.core.Retune(&s)
 }
+
+// full is a listener on loopback whose queue is full: who dials it waits for as long as the test wants.
+type full struct {
+	net.Listener
+	fill   []net.Conn
+	served sync.WaitGroup
+}
+
+// fullListener returns a listener that takes nobody in until let.
+func fullListener(t *testing.T) *full {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "a listener")
+	defer file.Close()
+	l, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &full{Listener: l}
+	t.Cleanup(func() {
+		f.Close()
+		for _, c := range f.fill {
+			c.Close()
+		}
+		f.served.Wait()
+	})
+	for { // until one does not come up
+		c, err := net.DialTimeout("tcp", l.Addr().String(), 200*time.Millisecond)
+		if err != nil {
+			return f
+		}
+		if f.fill = append(f.fill, c); len(f.fill) > 16 {
+			t.Fatal("the queue does not fill")
+		}
+	}
+}
+
+// A client that leaves while a connection to its server comes up: nothing of it is sent once the connection is there.
+// The same for a server that begins to drain meanwhile, and a repeat that its server would run anew by then.
+func TestNothingIsSentOnAConnectionThatComesUpTooLate(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(r *rig, leave func())
+	}{
+		{"the client leaves", func(_ *rig, leave func()) { leave() }},
+		{"the server drains", func(r *rig, _ func()) { r.list(balance.Draining, 0) }},
+		{"the server is gone", func(r *rig, _ func()) { r.list(balance.Gone, 0) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			each(t, func(t *testing.T, w wire) {
+				f := fullListener(t)
+				r := newRig(t, w, 1, nil)
+				r.retune(func(s *balance.Settings) { s.Connect, s.Classes[0].Deadline = time.Minute, time.Minute })
+				r.names = []string{f.Addr().String()}
+				r.list(balance.Ready, 0)
+				ctx, leave := context.WithCancel(context.Background())
+				defer leave()
+				waits := result(r, w, ctx, time.Minute)
+				steps.Until(t, "its pass goes out", func() bool {
+					all := r.core.Transactions.List()
+					return len(all) == 1 && all[0].Passes == 1
+				})
+				c.do(r, leave)
+				if c.name == "the client leaves" {
+					steps.Until(t, "the relay has seen it leave", func() bool { return r.core.Transactions.Len() == 0 })
+				}
+				f.let(t, w, r.script)
+				await(t, "the client's end", waits)
+				if v := r.settled(t); v.taken != 0 {
+					t.Errorf("%d transactions came to the server", v.taken)
+				}
+			})
+		})
+	}
+}
+
+// let takes in who waits, and serves from then on.
+func (f *full) let(t *testing.T, w wire, s *script) {
+	for range f.fill {
+		c, err := f.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+	}
+	f.served.Go(func() { serveAll(t, f.Listener, w, s) })
+}
+
+// A repeat whose connection comes up late is not sent where its servers have forgotten the first by then: it would run
+// anew. Its client is told what its class allows.
+func TestARepeatGoesOutOnlyWhileItsServersKnowTheFirst(t *testing.T) {
+	each(t, func(t *testing.T, w wire) {
+		const memory = 400 * time.Millisecond
+		f, g := fullListener(t), newGate()
+		r := newRig(t, w, 1, []behaviour{breaks})
+		r.script.hold = g.hold
+		r.retune(func(s *balance.Settings) {
+			s.Connect = time.Minute
+			s.Classes[0].Deadline, s.Classes[0].Effect, s.Classes[0].Scope, s.Classes[0].Memory = time.Minute, balance.Deduplicated, balance.ScopeCell, memory
+		})
+		began := r.core.Clock.Now()
+		waits := result(r, w, context.Background(), time.Minute)
+		await(t, "the first comes to its server", g.came)
+		r.core.Listed(balance.ListDelta, []balance.Server{{ID: r.core.Farm.ID("s-2"), State: balance.Ready, Weight: 1}}, []string{f.Addr().String()})
+		close(g.open) // it breaks
+		steps.Until(t, "the repeat is out", func() bool {
+			all := r.core.Transactions.List()
+			return len(all) == 1 && all[0].Passes == 2
+		})
+		steps.Until(t, "the first is forgotten", func() bool { return r.core.Clock.Now() > began+2*memory })
+		f.let(t, w, r.script)
+		if s := await(t, "its answer", waits); s.answer != "failed" {
+			t.Errorf("the client is told %q", s.answer)
+		}
+		if v := r.settled(t); v.taken != 1 {
+			t.Errorf("it came to servers %d times", v.taken)
+		}
+	})
+}
--- a/internal/spoken/amqp/server.go
+++ b/internal/spoken/amqp/server.go
@@ -261,17 +261,17 @@
 
 // Pass attaches the client's link at a server, and waits for its attach and, if
 // the client is to send, for credit.
-func (l *link) Pass(ctx context.Context, to memory.Server, wait time.Duration) (up core.Link, how balance.Status) {
-	address := to.Address
+func (l *link) Pass(ctx context.Context, out core.Out) (up core.Link, how balance.Status) {
+	address := out.To.Address
 	if host, _, err := net.SplitHostPort(address); err == nil && l.front.ServerPort != 0 {
 		address = net.JoinHostPort(host, strconv.Itoa(l.front.ServerPort))
 	}
-	u, err := l.front.reach(ctx, to, address, min(l.front.Core.Terms().Connect, wait))
+	u, err := l.front.reach(ctx, out.To, address, min(cmp.Or(l.front.Core.Terms().Connect, out.Wait), out.Wait))
 	if err != nil {
-		return nil, spoken.Ended(ctx, balance.ConnectFailed)
+		return nil, spoken.Unsent(ctx)
 	}
 	stop := context.AfterFunc(ctx, u.Close)
-	how = l.ask(ctx, u, to, wait)
+	how = l.ask(ctx, u, out)
 	if !stop() && how == balance.OK {
 		how = spoken.Ended(ctx, balance.Reset)
 	}
@@ -284,18 +284,18 @@
 }
 
 // ask returns what came of the attach at a server.
-func (l *link) ask(ctx context.Context, u *upstream, to memory.Server, wait time.Duration) balance.Status {
-	if to.IsLeaving() {
-		return balance.Moot // it drains since the pass was picked
+func (l *link) ask(ctx context.Context, u *upstream, out core.Out) balance.Status {
+	if !out.May(ctx) {
+		return balance.Moot
 	}
 	props, _ := l.attach.field(13).(mapping)
-	p := l.attach.with(1, uint32(0)).with(13, props.with(propGiveUp, uint32(max(1, wait.Milliseconds()))))
+	p := l.attach.with(1, uint32(0)).with(13, props.with(propGiveUp, uint32(max(1, out.Wait.Milliseconds()))))
 	if err := u.write(u.channel, p, nil); err != nil {
-		return spoken.Ended(ctx, balance.ConnectFailed)
+		return spoken.Unsent(ctx) // of a frame that is not whole nothing runs
 	}
 	l.front.Core.Figures.Tries.Add(1)
 	for {
-		f, err := u.next(wait)
+		f, err := u.next(out.Wait)
 		if err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				return balance.Timeout
--- a/internal/spoken/line/front.go
+++ b/internal/spoken/line/front.go
@@ -15,7 +15,6 @@
 
 	"lockroad/balance"
 	"lockroad/internal/core"
-	"lockroad/internal/memory"
 	"lockroad/internal/spoken"
 )
 
@@ -204,15 +203,15 @@
 }
 
 // Pass sends the opening to a server and waits for its answer.
-func (x *exchange) Pass(ctx context.Context, to memory.Server, wait time.Duration) (core.Link, balance.Status) {
+func (x *exchange) Pass(ctx context.Context, out core.Out) (core.Link, balance.Status) {
 	d := net.Dialer{Timeout: x.front.Core.Terms().Connect, KeepAlive: -1}
-	conn, err := d.DialContext(ctx, "tcp", to.Address)
+	conn, err := d.DialContext(ctx, "tcp", out.To.Address)
 	if err != nil {
-		return nil, spoken.Ended(ctx, balance.ConnectFailed)
+		return nil, spoken.Unsent(ctx)
 	}
-	s := newServer(conn.(*net.TCPConn), to.ID)
+	s := newServer(conn.(*net.TCPConn), out.To.ID)
 	stop := context.AfterFunc(ctx, s.Close)
-	how := x.ask(ctx, s, to, wait)
+	how := x.ask(ctx, s, out)
 	if !stop() && how == balance.OK {
 		how = spoken.Ended(ctx, balance.Reset)
 	}
@@ -224,12 +223,12 @@
 }
 
 // ask returns what came of the opening at a server.
-func (x *exchange) ask(ctx context.Context, s *server, to memory.Server, wait time.Duration) balance.Status {
-	if x.opening.at == "" && to.IsLeaving() {
-		return balance.Moot // it drains since the pass was picked
+func (x *exchange) ask(ctx context.Context, s *server, out core.Out) balance.Status {
+	if !out.May(ctx) {
+		return balance.Moot
 	}
-	if _, err := s.Write(x.opening.with(wait)); err != nil {
-		return spoken.Ended(ctx, balance.ConnectFailed)
+	if _, err := s.Write(x.opening.with(out.Wait)); err != nil {
+		return spoken.Unsent(ctx) // of a line that is not whole nothing runs
 	}
 	x.front.Core.Figures.Tries.Add(1)
 	text, err := s.r.line()
--- a/internal/spoken/otlp/otlp_test.go
+++ b/internal/spoken/otlp/otlp_test.go
@@ -12,7 +12,6 @@
 
 	"lockroad/balance"
 	"lockroad/internal/core"
-	"lockroad/internal/memory"
 	"lockroad/internal/record"
 	"lockroad/internal/standin"
 )
@@ -20,7 +19,7 @@
 // exchange is a transaction that two servers turn away.
 type exchange struct{}
 
-func (exchange) Pass(context.Context, memory.Server, time.Duration) (core.Link, balance.Status) {
+func (exchange) Pass(context.Context, core.Out) (core.Link, balance.Status) {
 	return nil, balance.Full
 }
 func (exchange) Join(context.Context, core.Link, *core.Pulse) balance.Status { return balance.OK }
--- a/internal/spoken/spoken.go
+++ b/internal/spoken/spoken.go
@@ -8,6 +8,15 @@
 	"lockroad/balance"
 )
 
+// Unsent is the outcome of a pass whose connection did not come up, or that was ended from here
+// before anything of it was sent: whatever its server does, it has not run.
+func Unsent(ctx context.Context) balance.Status {
+	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return balance.ConnectFailed
+	}
+	return balance.Moot
+}
+
 // Ended is the outcome of a pass that broke, or that was ended from here: ctx is
 // the pass's own, with its time-out.
 func Ended(ctx context.Context, broke balance.Status) balance.Status {
--- a/internal/why/account.go
+++ b/internal/why/account.go
@@ -366,7 +366,7 @@
 
 var givenUp = map[balance.Reason]string{
 	balance.NoHope: "no ready server is left that it has not tried", balance.OutOfTime: "its client's time is up, or would be before another attempt",
-	balance.OutOfTries: "it has had all the attempts that it may have", balance.MayNotRepeat: "it may have run, and must not run twice",
+	balance.OutOfTries: "it has had all the attempts that it may have", balance.MayNotRepeat: "it may have run, and must not run twice", balance.RelayLeaves: "its relay leaves",
 }
 
 // ending tells how a transaction ended, in a clause that follows its number.
--- a/internal/why/core_test.go
+++ b/internal/why/core_test.go
@@ -28,17 +28,17 @@
 
 func (noLink) Close() {}
 
-func (x *scripted) Pass(_ context.Context, to memory.Server, wait time.Duration) (core.Link, balance.Status) {
+func (x *scripted) Pass(_ context.Context, out core.Out) (core.Link, balance.Status) {
 	how := balance.OK
 	if n := len(x.seen); n < len(x.hows) {
 		how = x.hows[n]
 	}
 	if how == balance.Timeout {
-		time.Sleep(wait)
+		time.Sleep(out.Wait)
 	} else {
 		time.Sleep(20 * time.Millisecond)
 	}
-	x.seen = append(x.seen, x.farm.Name(to.ID)+" "+memory.Statuses[how])
+	x.seen = append(x.seen, x.farm.Name(out.To.ID)+" "+memory.Statuses[how])
 	if how == balance.OK {
 		return noLink{}, how
 	}
