--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -61,6 +61,10 @@
 	telemetryLast  = time.Second // for what still waits at the end
 )
 
+// firstList is how long the first list is waited for before clients are taken in: an agent that is up answers at once.
+// Those who come meanwhile wait in the doors' queues.
+var firstList = 300 * time.Millisecond
+
 // front is where clients come in.
 type front interface {
 	Serve(context.Context, net.Listener) error
@@ -93,6 +97,7 @@
 	core    *core.Core
 	log     *slog.Logger
 	watcher *discovery.Watcher
+	listed  <-chan struct{} // closed once discovery has told its list
 	doors   []door
 	record  *record.Record // nil: no decisions are kept
 	takes   atomic.Bool    // clients are taken
@@ -165,6 +170,7 @@
 		r.core.Survey()
 	}
 	r.watcher = &discovery.Watcher{Core: r.core, Address: c.Discovery, Zones: c.Zones, Keep: c.Admin != "" || o.Store.Dir != ""}
+	r.listed = r.watcher.Told()
 	r.begin(known, age, warm)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -363,6 +369,13 @@
 // the relay ends.
 func (r *relay) serve(ctx context.Context, end context.CancelFunc) error {
 	defer end()
+	if r.prober == nil && r.guest == nil { // what was known before the start is older than what counts as told
+		select {
+		case <-r.listed:
+		case <-ctx.Done():
+		case <-time.After(firstList):
+		}
+	}
 	var g errgroup.Group
 	for _, d := range r.doors {
 		g.Go(func() error { return d.front.Serve(ctx, d.Door) })
--- a/internal/lifecycle/run_test.go
+++ b/internal/lifecycle/run_test.go
@@ -292,9 +292,48 @@
 	}
 }
 
+// What discovery's agent has counts as told from a process's first moment, and the list from before the start may be
+// older: a client that comes before the agent has answered is placed by what it answers.
+func TestClientsArePlacedByTheListOfNow(t *testing.T) {
+	usual := firstList
+	firstList = time.Minute // the agent waits for the client here
+	t.Cleanup(func() { firstList = usual })
+	agent, other := listen(t), listen(t)
+	go func() {
+		for {
+			c, err := other.Accept()
+			if err != nil {
+				return
+			}
+			io.WriteString(c, "UP 2\r\n")
+			t.Cleanup(func() { c.Close() })
+		}
+	}()
+	address, _ := start(t, Words{}, agent, &Operator{}, io.Discard)
+	_, _, conn := heldWatch(t, agent)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprintf(c, "OPEN %016x 2 c=page,d=1500\r\n", opened.Add(1))
+	list := fmt.Sprintf(`{"revision":42,"complete":false,"members":[{"id":"s-1","phase":"draining","size":1},{"id":"s-2","host_port":%q,"phase":"ready","size":1}]}`, other.Addr())
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(list), list)
+	if text, err := bufio.NewReader(c).ReadString('\n'); text != "UP 2\r\n" {
+		t.Errorf("answered %q, %v: the client is placed by the list from before the start", text, err)
+	}
+}
+
 // watch waits for a relay to open a watch, and returns what it asks and the
 // connection.
 func watch(t *testing.T, l net.Listener) (string, *bufio.Reader) {
+	t.Helper()
+	text, r, _ := heldWatch(t, l)
+	return text, r
+}
+
+func heldWatch(t *testing.T, l net.Listener) (string, *bufio.Reader, net.Conn) {
 	t.Helper()
 	l.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second))
 	c, err := l.Accept()
@@ -308,7 +347,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return strings.TrimSpace(text), r
+	return strings.TrimSpace(text), r, c
 }
 
 // A new configuration under load: the watch goes over to the new address at once
--- a/internal/spoken/discovery/discovery.go
+++ b/internal/spoken/discovery/discovery.go
@@ -23,15 +23,36 @@
 )
 
 const (
-	dialWait  = time.Second
-	quietMost = 6 * time.Second         // a sound watch says something every 2 s
-	againWait = 200 * time.Millisecond  // between two watches, doubled with each that brings nothing,
-	againMost = 1600 * time.Millisecond // up to this; each wait is drawn between half of it and all
-	busyWait  = time.Second             // the same where discovery says that it is overbooked
+	quietMost = 3 * time.Second // a sound watch says something every 2 s
+	busyWait  = time.Second     // between two watches where discovery says that it is overbooked, as againWait
 	busyMost  = 8 * time.Second
 	listMost  = 64 << 20 // bytes of one list: 100,000 servers, indented. Memory is taken as a list comes
 )
 
+// pace is how a watch is opened.
+type pace struct {
+	dial, head time.Duration // its connection, and the first line of the answer, are there within these
+	againWait  time.Duration // between two watches, doubled with each that brings nothing,
+	againMost  time.Duration // up to this; each wait is drawn between half of it and all
+}
+
+var (
+	// An agent on the relay's own machine answers at once and at no cost, and what it has counts as told whether
+	// a watch is open or not: one that does not answer is asked again soon, and after a watch that ends at once.
+	ofAgent = pace{dial: 500 * time.Millisecond, head: 500 * time.Millisecond, againWait: 25 * time.Millisecond, againMost: 200 * time.Millisecond}
+	// A service that all relays ask takes their calls one after another. What a silent watch misses counts as told
+	// 6 s after it fell silent, so the next has to have come up by then.
+	ofService = pace{dial: time.Second, head: 2500 * time.Millisecond, againWait: 200 * time.Millisecond, againMost: 1600 * time.Millisecond}
+)
+
+// pace is the one that the settings in force ask for.
+func (w *Watcher) pace() pace {
+	if w.Core.Terms().Ask {
+		return ofService
+	}
+	return ofAgent
+}
+
 // List is a list of the farm, or of what has changed in it.
 type List struct {
 	Revision uint64   `json:"revision"`
@@ -62,7 +83,9 @@
 	Zones    []string
 	Keep     bool // the list is kept as it came, for List
 	revision uint64
-	fails    int // watches since a list was last taken
+	fails    int // watches since one last brought anything
+
+	first chan struct{} // closed once a watch has been answered; nil: nobody asked
 
 	mu     sync.Mutex
 	kept   List
@@ -174,19 +197,47 @@
 	return nil
 }
 
+// answered notes that a watch has brought a list.
+func (w *Watcher) answered() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.first != nil {
+		select {
+		case <-w.first:
+		default:
+			close(w.first)
+		}
+	}
+}
+
+// Told is closed once a watch has brought what discovery has. It guards against clients that are placed by the list
+// from before the start: what the agent has counts as told from a process's first moment.
+func (w *Watcher) Told() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.first == nil {
+		w.first = make(chan struct{})
+	}
+	return w.first
+}
+
 // Run watches until ctx ends. A watch that ends is opened again from the last
 // revision, after a moment, or at once where another address is to be followed.
 func (w *Watcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		turn, done := w.turn(ctx)
 		w.fails++
+		began := time.Now()
 		err := w.watch(turn)
+		if time.Since(began) > quietMost {
+			w.fails = 0 // it has lived, be it without news
+		}
 		if turn.Err() == nil {
 			w.Core.Log.Warn("the watch of the farm has ended", "error", cmp.Or(err, io.EOF), "revision", w.revision)
 		}
 		select {
 		case <-turn.Done():
-		case <-time.After(again(w.fails, errors.Is(err, errBusy))):
+		case <-time.After(w.pace().again(w.fails, errors.Is(err, errBusy), w.Core.Terms().AskEvery)):
 		}
 		done()
 	}
@@ -196,19 +247,22 @@
 // again is the wait before a watch is opened after some that brought nothing. It guards
 // against many relays that come back to an agent that is down in step, and at once; and
 // where discovery is overbooked, against calls that wait in its queue only to fail there,
-// and take the time of those that would not.
-func again(fails int, busy bool) time.Duration {
-	least, most := againWait, againMost
+// and take the time of those that would not. Who does not ask for too long (askEvery, where it is told) counts as told.
+func (p pace) again(fails int, busy bool, askEvery time.Duration) time.Duration {
+	least, most := p.againWait, p.againMost
 	if busy {
 		least, most = busyWait, busyMost
 	}
-	most = min(most, least<<min(fails, 8))
-	return most/2 + rand.N(most/2)
+	if most = min(most, least<<min(fails, 8)); askEvery > 0 {
+		most = min(most, askEvery/2)
+	}
+	return most/2 + rand.N(max(1, most/2))
 }
 
 // watch opens one watch and takes what it brings until it ends.
 func (w *Watcher) watch(ctx context.Context) error {
-	d := net.Dialer{Timeout: dialWait}
+	pace := w.pace()
+	d := net.Dialer{Timeout: pace.dial}
 	conn, err := d.DialContext(ctx, "tcp", w.Address)
 	if err != nil {
 		return err
@@ -220,12 +274,13 @@
 	if err != nil {
 		return err
 	}
-	in := &quiet{conn}
+	in := &quiet{conn, pace.head}
 	r := bufio.NewReader(in)
 	body, err := readHead(r)
 	if err != nil {
 		return err
 	}
+	in.most = quietMost
 	// Lists may come indented, over many lines: what ends one is its last brace.
 	whole := &bounded{Reader: body}
 	for lists := json.NewDecoder(whole); ; {
@@ -239,10 +294,13 @@
 		kind := balance.ListDelta
 		if l.Complete {
 			kind = balance.ListFull
+		} else if l.Revision < w.revision {
+			continue // changes that newer ones have overtaken
 		}
 		if err := w.take(l, kind); err != nil {
 			return err
 		}
+		w.answered()
 	}
 }
 
@@ -262,10 +320,13 @@
 }
 
 // quiet ends a connection that says nothing for too long.
-type quiet struct{ net.Conn }
+type quiet struct {
+	net.Conn
+	most time.Duration
+}
 
 func (q *quiet) Read(b []byte) (int, error) {
-	q.SetReadDeadline(time.Now().Add(quietMost))
+	q.SetReadDeadline(time.Now().Add(q.most))
 	return q.Conn.Read(b)
 }
 
--- a/internal/spoken/discovery/discovery_test.go
+++ b/internal/spoken/discovery/discovery_test.go
@@ -215,15 +215,16 @@
 }
 
 func TestWatchesAreOpenedAgainLessAndLessOften(t *testing.T) {
-	for _, busy := range []bool{false, true} {
+	for i, p := range []pace{ofAgent, ofService, ofService} {
+		busy := i == 2
 		seen := map[time.Duration]bool{}
 		for fails := range 12 {
-			most := min(againMost, againWait<<fails)
+			most := min(p.againMost, p.againWait<<fails)
 			if busy {
 				most = min(busyMost, busyWait<<fails)
 			}
 			for range 50 {
-				wait := again(fails, busy)
+				wait := p.again(fails, busy, 0)
 				if seen[wait] = true; wait < most/2 || wait > most {
 					t.Fatalf("after %d fails, busy %v, the wait is %v, not within half of %v and all", fails, busy, wait, most)
 				}
@@ -233,6 +234,9 @@
 			t.Errorf("%d waits of 600 differ: relays come back in step", len(seen))
 		}
 	}
+	if wait := ofService.again(12, true, 6*time.Second); wait > 3*time.Second {
+		t.Errorf("discovery that is to be asked every 6 s is asked after %v", wait)
+	}
 	_, err := readHead(bufio.NewReader(strings.NewReader("HTTP/1.1 503 Service Unavailable\r\n\r\n")))
 	if !errors.Is(err, errBusy) {
 		t.Errorf("an overbooked discovery is told as %v", err)
@@ -276,3 +280,149 @@
 		}
 	})
 }
+
+// scripted is an agent whose watches the test holds, one after another.
+type scripted struct {
+	t       *testing.T
+	watches chan *held
+	address string
+}
+
+// held is one watch, at the agent's side.
+type held struct {
+	net.Conn
+	from string
+}
+
+func newScripted(t *testing.T) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scripted{t, make(chan *held, 64), l.Addr().String()}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			text, _ := bufio.NewReader(c).ReadString('\n')
+			_, from, _ := strings.Cut(strings.TrimSuffix(strings.TrimSpace(text), " HTTP/1.1"), "from=")
+			s.watches <- &held{c, from}
+		}
+	}()
+	return s
+}
+
+// next is the watch that is opened next, and how long that took.
+func (s *scripted) next(from string) (*held, time.Duration) {
+	s.t.Helper()
+	began := time.Now()
+	select {
+	case h := <-s.watches:
+		s.t.Cleanup(func() { h.Close() })
+		if h.from != from {
+			s.t.Fatalf("a watch from %s, want %s", h.from, from)
+		}
+		return h, time.Since(began)
+	case <-time.After(8 * time.Second):
+		s.t.Fatal("no watch is opened")
+	}
+	return nil, 0
+}
+
+const okHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func (h *held) answer(texts ...string) {
+	io.WriteString(h, okHead)
+	for _, text := range texts {
+		io.WriteString(h, chunk(text))
+	}
+}
+
+// watching has a farm watched until the test's end.
+func watching(t *testing.T, address string, ask bool) (*core.Core, *Watcher) {
+	k := newCore()
+	if ask {
+		s := *k.Terms()
+		s.Ask, s.AskEvery = true, 10*time.Second
+		k.Retune(&s)
+	}
+	w := &Watcher{Core: k, Address: address, Zones: []string{"a", "b"}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { w.Run(ctx) })
+	t.Cleanup(func() { cancel(); done.Wait() })
+	return k, w
+}
+
+// What a watch that falls silent misses counts as told 6 s later, whether lists are pushed or asked for: by then the
+// next has to have brought it. That one may find nobody who answers, too.
+func TestAWatchThatFallsSilentIsOpenedAnewInTime(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ask  bool
+		part string // of a list, where it falls silent within
+	}{{"pushed", false, ""}, {"asked for", true, ""}, {"within a list", false, list(9, false, member("s-1", "draining"))[:40]}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			agent := newScripted(t)
+			k, _ := watching(t, agent.address, c.ask)
+			h, _ := agent.next("0")
+			h.answer(list(7, true, member("s-1", "ready"), member("s-2", "ready")))
+			steps.Until(t, "the list is there", func() bool { return farmOf(k) == "s-1=ready s-2=ready" })
+			began := time.Now() // it says nothing from now on
+			if c.part != "" {
+				io.WriteString(h, chunk(c.part))
+			}
+			agent.next("7") // and the next one not even that it is there
+			h, _ = agent.next("7")
+			h.answer(list(9, false, member("s-1", "draining")))
+			steps.Until(t, "the drain is there", func() bool { return farmOf(k) == "s-1=draining s-2=ready" })
+			if took := time.Since(began); took > 6*time.Second {
+				t.Errorf("a drain is known %v after the watch fell silent", took)
+			}
+		})
+	}
+}
+
+// An agent has what it was sent, whether a watch is open or not, and it counts as told: a watch that breaks is opened
+// again within a part of any grace, however often that was needed before and though nothing had changed.
+func TestAWatchThatBreaksIsOpenedAgainAtOnce(t *testing.T) {
+	agent := newScripted(t)
+	k, _ := watching(t, agent.address, false)
+	h, _ := agent.next("0")
+	h.answer(list(7, true, member("s-1", "ready")))
+	steps.Until(t, "the list is there", func() bool { return farmOf(k) == "s-1=ready" })
+	for range 8 {
+		h.Conn.(*net.TCPConn).SetLinger(0)
+		h.Close()
+		var took time.Duration
+		if h, took = agent.next("7"); took > 230*time.Millisecond {
+			t.Fatalf("a watch that was reset is opened again after %v", took)
+		}
+		h.answer("\n")
+	}
+}
+
+// A list that an old watch, or the agent before, still has to tell never undoes a newer one.
+func TestWhatAnOldWatchStillTellsUndoesNothing(t *testing.T) {
+	before, after := newScripted(t), newScripted(t)
+	k, w := watching(t, before.address, false)
+	old, _ := before.next("0")
+	old.answer(list(7, true, member("s-1", "ready"), member("s-2", "ready")), list(8, false, member("s-1", "draining"))[:50])
+	steps.Until(t, "the list is there", func() bool { return farmOf(k) == "s-1=ready s-2=ready" })
+	w.Follow(after.address)
+	h, _ := after.next("0")
+	h.answer(list(9, true, member("s-1", "draining"), member("s-2", "draining")))
+	steps.Until(t, "the new agent's list is there", func() bool { return farmOf(k) == "s-1=draining s-2=draining" })
+	io.WriteString(old, chunk(list(8, false, member("s-1", "ready"), member("s-2", "ready"))))
+	// Nor do changes that newer ones have overtaken on one watch.
+	io.WriteString(h, chunk(list(8, false, member("s-1", "ready")))+chunk(list(10, false, member("s-3", "ready"))))
+	steps.Until(t, "the newest change is there", func() bool { return strings.HasSuffix(farmOf(k), "s-3=ready") })
+	if got := farmOf(k); got != "s-1=draining s-2=draining s-3=ready" {
+		t.Errorf("the farm is %s", got)
+	}
+}
