--- a/internal/spoken/discovery/discovery.go
+++ b/internal/spoken/discovery/discovery.go
@@ -23,26 +23,28 @@
 )
 
 const (
-	quietMost = 3 * time.Second // a sound watch says something every 2 s
-	busyWait  = time.Second     // between two watches where discovery says that it is overbooked, as againWait
-	busyMost  = 8 * time.Second
-	listMost  = 64 << 20 // bytes of one list: 100,000 servers, indented. Memory is taken as a list comes
+	quietMost  = 3 * time.Second // a sound watch says something every 2 s
+	answerMost = 6 * time.Second // a call for a watch is answered by then, or never
+	busyWait   = time.Second     // between two watches where discovery says that it is overbooked, as againWait
+	busyMost   = 8 * time.Second
+	listMost   = 64 << 20 // bytes of one list: 100,000 servers, indented. Memory is taken as a list comes
 )
 
 // pace is how a watch is opened.
 type pace struct {
-	dial, head time.Duration // its connection, and the first line of the answer, are there within these
-	againWait  time.Duration // between two watches, doubled with each that brings nothing,
-	againMost  time.Duration // up to this; each wait is drawn between half of it and all
+	calls     int           // that may wait for an answer at a time
+	head      time.Duration // one that has waited so long gets another beside it, or where it is alone is given up
+	againWait time.Duration // between two watches, doubled with each that brings nothing,
+	againMost time.Duration // up to this; each wait is drawn between half of it and all
 }
 
 var (
 	// An agent on the relay's own machine answers at once and at no cost, and what it has counts as told whether
 	// a watch is open or not: one that does not answer is asked again soon, and after a watch that ends at once.
-	ofAgent = pace{dial: 500 * time.Millisecond, head: 500 * time.Millisecond, againWait: 25 * time.Millisecond, againMost: 200 * time.Millisecond}
+	ofAgent = pace{calls: 12, head: 500 * time.Millisecond, againWait: 25 * time.Millisecond, againMost: 200 * time.Millisecond}
 	// A service that all relays ask takes their calls one after another. What a silent watch misses counts as told
 	// 6 s after it fell silent, so the next has to have come up by then.
-	ofService = pace{dial: time.Second, head: 2500 * time.Millisecond, againWait: 200 * time.Millisecond, againMost: 1600 * time.Millisecond}
+	ofService = pace{calls: 1, head: 2500 * time.Millisecond, againWait: 200 * time.Millisecond, againMost: 1600 * time.Millisecond}
 )
 
 // pace is the one that the settings in force ask for.
@@ -259,30 +261,90 @@
 	return most/2 + rand.N(max(1, most/2))
 }
 
-// watch opens one watch and takes what it brings until it ends.
-func (w *Watcher) watch(ctx context.Context) error {
-	pace := w.pace()
-	d := net.Dialer{Timeout: pace.dial}
-	conn, err := d.DialContext(ctx, "tcp", w.Address)
+// call is a watch that has been asked for. Its answer has begun, or err says why it has not.
+type call struct {
+	conn *quiet
+	body io.Reader
+	err  error
+}
+
+// call asks for a watch.
+func (w *Watcher) call(ctx context.Context, address string, revision uint64, most time.Duration) call {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return err
+		return call{err: err}
 	}
-	defer conn.Close()
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	_, err = fmt.Fprintf(conn, "GET /discovery/hosts?watch=1&from=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n",
-		w.revision, w.Address)
-	if err != nil {
-		return err
+	cut := context.AfterFunc(ctx, func() { conn.Close() })
+	c := call{conn: &quiet{conn, most}}
+	_, c.err = fmt.Fprintf(conn, "GET /discovery/hosts?watch=1&from=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", revision, address)
+	if c.err == nil {
+		c.body, c.err = readHead(bufio.NewReader(c.conn))
+	}
+	if !cut() && c.err == nil {
+		c.err = ctx.Err()
+	}
+	if c.err != nil {
+		conn.Close()
 	}
-	in := &quiet{conn, pace.head}
-	r := bufio.NewReader(in)
-	body, err := readHead(r)
+	c.conn.most = quietMost
+	return c
+}
+
+// open opens a watch. While an agent does not answer it is asked again beside the calls that wait, as it may never
+// answer one that came while it was down, or answer it late: the first that is answered is the watch, the others are
+// closed. A failure of the last that waits is the failure.
+func (w *Watcher) open(ctx context.Context) (call, error) {
+	ctx, over := context.WithCancel(ctx)
+	defer over()
+	p := w.pace()
+	most := min(answerMost, time.Duration(p.calls)*p.head<<min(8, max(0, w.fails-1)))
+	answers := make(chan call)
+	out := 0
+	for {
+		if out < p.calls {
+			out++
+			go func() {
+				c := w.call(ctx, w.Address, w.revision, most)
+				select {
+				case answers <- c:
+				case <-ctx.Done(): // another is the watch
+					if c.err == nil {
+						c.conn.Close()
+					}
+				}
+			}()
+		}
+		again := time.NewTimer(p.head)
+		for waits := true; waits; {
+			select {
+			case c := <-answers:
+				if out--; c.err == nil || out == 0 {
+					again.Stop()
+					return c, c.err
+				}
+			case <-again.C:
+				waits = false
+			case <-ctx.Done():
+				again.Stop()
+				return call{}, ctx.Err()
+			}
+		}
+	}
+}
+
+// watch opens one watch and takes what it brings until it ends.
+func (w *Watcher) watch(ctx context.Context) error {
+	c, err := w.open(ctx)
 	if err != nil {
 		return err
 	}
-	in.most = quietMost
+	defer c.conn.Close()
+	defer context.AfterFunc(ctx, func() { c.conn.Close() })()
 	// Lists may come indented, over many lines: what ends one is its last brace.
-	whole := &bounded{Reader: body}
+	whole := &bounded{Reader: c.body}
 	for lists := json.NewDecoder(whole); ; {
 		var l List
 		whole.left = listMost
