--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -226,6 +226,9 @@
 // against those that are still waiting when the relay is killed.
 func (c *Core) TurnAway() { c.turnAll() }
 
+// Closing ends once every transaction that is not up is answered.
+func (c *Core) Closing() context.Context { return c.closing }
+
 // turn waits for a transaction's turn to be handed over or moved, or for its end. Turns are spread evenly, whatever
 // the numbers of those that are there. They count from when everyone began to move: one that comes up after its turn
 // moves at once, as the relay may end before another such time is over.
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -148,8 +148,11 @@
 			return changes, nil
 		}
 		if c.Listen != fixed.Listen || c.Name != fixed.Name || c.Sockets != fixed.Sockets || c.MemoryMB != fixed.MemoryMB ||
-			c.Cores != fixed.Cores || !slices.Equal(c.Zones, fixed.Zones) || c.fileAdmin != fixed.fileAdmin {
-			r.log.Warn("name, addresses but discovery's, limits and localities take effect with the next start only")
+			c.Cores != fixed.Cores || c.fileAdmin != fixed.fileAdmin {
+			r.log.Warn("name, addresses but discovery's, and limits take effect with the next start only")
+		}
+		if zone := c.Settings.Zone; zone >= 0 && zone < len(c.Zones) { // servers keep the numbers that their localities have here
+			c.Settings.Zone = r.watcher.Zone(c.Zones[zone])
 		}
 		inForce = text
 		r.core.Retune(&c.Settings)
--- a/internal/lifecycle/reload_test.go
+++ b/internal/lifecycle/reload_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 
+	"lockroad/internal/core"
+	"lockroad/internal/spoken/discovery"
 	"lockroad/internal/steps"
 )
 
@@ -193,3 +195,31 @@
 		}
 	}
 }
+
+// A configuration that names the localities in another order moves no server to another zone, and the relay stays in its own.
+func TestLocalitiesMayComeInAnotherOrder(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	good := configText("127.0.0.1:0", "127.0.0.1:8500", "127.0.0.1:1")
+	c, err := ParseConfig([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := core.New(c.Settings, 1, core.NewClock())
+	r := &relay{config: c, core: k, log: slog.New(slog.DiscardHandler), watcher: &discovery.Watcher{Core: k, Address: c.Discovery, Zones: c.Zones}}
+	take := r.platform(Words{File: file})
+	for _, next := range []struct {
+		localities string
+		zone, want int
+	}{{`["b", "a"]`, 0, 1}, {`["b", "a"]`, 1, 0}, {`["c", "a", "b"]`, 2, 1}, {`["c", "a", "b"]`, 0, 2}} {
+		text := strings.NewReplacer(`["a", "b"]`, next.localities, `"Zone": 1`, fmt.Sprintf(`"Zone": %d`, next.zone)).Replace(good)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := take(reloadAsk{}); err != nil {
+			t.Fatal(err)
+		}
+		if got := k.Terms().Zone; got != next.want {
+			t.Errorf("zone %d of %s is %d here, want %d", next.zone, next.localities, got, next.want)
+		}
+	}
+}
--- a/internal/spoken/discovery/discovery.go
+++ b/internal/spoken/discovery/discovery.go
@@ -44,7 +44,7 @@
 	ofAgent = pace{calls: 12, head: 500 * time.Millisecond, againWait: 25 * time.Millisecond, againMost: 200 * time.Millisecond}
 	// A service that all relays ask takes their calls one after another. What a silent watch misses counts as told
 	// 6 s after it fell silent, so the next has to have come up by then.
-	ofService = pace{calls: 1, head: 2500 * time.Millisecond, againWait: 200 * time.Millisecond, againMost: 1600 * time.Millisecond}
+	ofService = pace{calls: 1, head: 2200 * time.Millisecond, againWait: 200 * time.Millisecond, againMost: 1600 * time.Millisecond}
 )
 
 // pace is the one that the settings in force ask for.
@@ -143,6 +143,18 @@
 	return nil
 }
 
+// Zone is the number of a locality for as long as the relay runs, whatever the order of a later configuration. One that
+// no configuration has named gets a number of its own: two of them must not pass for one zone, in which a repeat is dropped.
+func (w *Watcher) Zone(locality string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if i := slices.Index(w.Zones, locality); i >= 0 {
+		return i
+	}
+	w.Zones = append(slices.Clip(w.Zones), locality)
+	return len(w.Zones) - 1
+}
+
 // keep takes news into the list that is kept.
 func (w *Watcher) keep(l List, kind balance.ListKind) {
 	w.mu.Lock()
@@ -185,7 +197,7 @@
 			return fmt.Errorf("discovery: member %q in phase %q of size %v makes no sense", m.ID, m.Phase, m.Size)
 		}
 		servers = append(servers, balance.Server{
-			ID: w.Core.Farm.ID(m.ID), State: phase, Zone: slices.Index(w.Zones, m.Locality),
+			ID: w.Core.Farm.ID(m.ID), State: phase, Zone: w.Zone(m.Locality),
 			Cell: m.Cell, Weight: m.Size, Born: w.Core.Clock.AtUnixMilli(m.UpSince),
 		})
 		addresses = append(addresses, m.HostPort)
--- a/internal/spoken/discovery/discovery_test.go
+++ b/internal/spoken/discovery/discovery_test.go
@@ -426,3 +426,19 @@
 		t.Errorf("the farm is %s", got)
 	}
 }
+
+// Servers keep the numbers of their localities, and two that no configuration names are two: a repeat is dropped within
+// one zone alone.
+func TestLocalitiesKeepTheirNumbers(t *testing.T) {
+	k := newCore()
+	w := &Watcher{Core: k, Zones: []string{"a", "b"}}
+	for i, want := range map[string]int{"a": 0, "b": 1} {
+		if got := w.Zone(i); got != want {
+			t.Errorf("locality %q is %d", i, got)
+		}
+	}
+	c, d := w.Zone("c"), w.Zone("d")
+	if c < 2 || d < 2 || c == d || w.Zone("c") != c || w.Zone("b") != 1 {
+		t.Errorf("localities that nobody named are %d and %d, then %d and %d", c, d, w.Zone("c"), w.Zone("b"))
+	}
+}
--- a/internal/spoken/line/front.go
+++ b/internal/spoken/line/front.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	byeWait   = 5 * time.Second // a server may take this long to end what its client has
-	pingsMost = 16              // that a client may send before its opening
+	byeWait   = 5 * time.Second        // a server may take this long to end what its client has
+	lastWait  = 200 * time.Millisecond // an opening that is under way has this long once the relay answers all who wait
+	pingsMost = 16                     // that a client may send before its opening
 )
 
 // Front is where clients of the platform come in.
@@ -55,8 +56,23 @@
 	// The whole opening has to be there by then; nothing that comes before it gives
 	// a client more time.
 	c.SetReadDeadline(g.Since.Add(spoken.OpeningWait))
+	// Whoever writes it in pieces is still owed a word when the relay ends.
+	hurried := make(chan struct{})
+	hurry := context.AfterFunc(f.Core.Closing(), func() {
+		defer close(hurried)
+		if late := time.Now().Add(lastWait); late.Before(g.Since.Add(spoken.OpeningWait)) {
+			c.SetReadDeadline(late)
+		}
+	})
+	defer hurry()
 	for pings := 0; ; pings++ {
 		text, err := c.r.ReadSlice('\n')
+		if errors.Is(err, os.ErrDeadlineExceeded) && f.Core.Closing().Err() != nil {
+			c.end(busy(0))
+			go c.drain()
+			c.finish()
+			return
+		}
 		if errors.Is(err, bufio.ErrBufferFull) || errors.Is(err, os.ErrDeadlineExceeded) || pings > pingsMost {
 			f.bad(c, "no opening has come in time, or one too long")
 			return
@@ -93,6 +109,9 @@
 			f.turnAway(ctx, c, ask, core.NoSeat)
 			return
 		}
+		if !hurry() {
+			<-hurried
+		}
 		c.SetReadDeadline(time.Time{})
 		x := f.exchange(c)
 		x.opening = o
--- a/internal/spoken/line/front_test.go
+++ b/internal/spoken/line/front_test.go
@@ -234,3 +234,25 @@
 	client.want(strings.Repeat("PONG\r\n", pingsMost+1) + "ERR\r\n")
 	client.wantEnd(false)
 }
+
+// A client that writes its opening in pieces while the relay ends is told to come again: closed without a word, what it
+// has said by then would be lost.
+func TestAnOpeningThatIsUnderWayIsAnsweredAtTheEnd(t *testing.T) {
+	s := newSite(t, 4)
+	c := s.client()
+	c.say("PING\r\nOPEN 9b1f03aa5c7e2d41 7f3a9c21")
+	c.want("PONG\r\n") // it is being read
+	began := time.Now()
+	s.core.TurnAway()
+	c.want("BUSY\r\n")
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("answered after %v", took)
+	}
+	c.say("e0b4d655 c=page,d=1500\r\n") // which is read, lest the answer is lost to a reset
+	c.CloseWrite()
+	c.wantEnd(false)
+	// Who still comes to the point is answered as one that waits.
+	c = s.client()
+	c.say(fmt.Sprintf(first, 4000))
+	c.want("BUSY\r\n")
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -77,6 +77,15 @@
 	return time.Duration(us) * time.Microsecond
 }
 
+// over reads a time that has to be over 0.
+func over(r *settingsReader, o object, path, key string) time.Duration {
+	t := span(r, o, path, key)
+	if t <= 0 {
+		r.failf(path+key, "is not over 0")
+	}
+	return t
+}
+
 var effects = map[string]balance.Effect{
 	"idempotent":   balance.Idempotent,
 	"deduplicated": balance.Deduplicated,
@@ -119,22 +128,29 @@
 		ColdShare:     need[float64](r, rules, "Guarantees.", "StartCapacity"),
 		ColdFor:       span(r, rules, "Guarantees.", "ColdUs"),
 		TipMultiple:   need[float64](r, rules, "Guarantees.", "TipMultiple"),
-		TipAfter:      span(r, rules, "Guarantees.", "FallUs"),
+		TipAfter:      over(r, rules, "Guarantees.", "FallUs"),
 		CrossZoneCost: maybe[float64](r, costs, "Costs.", "CrossZone"),
 	}
 	if maybe[bool](r, limits, "Limits.", "RetryAfter") {
 		s.MaxRetryAfter = span(r, limits, "Limits.", "MaxRetryAfterUs")
 	}
 	if s.Ask {
-		s.AskEvery = span(r, rules, "Guarantees.", "AskEveryUs")
+		s.AskEvery = over(r, rules, "Guarantees.", "AskEveryUs")
 	}
 	s.TellsLoad, s.TellsDelay = tells(r, facts, "TellsLoad"), tells(r, facts, "TellsDelay")
 	if s.MaxAttempts < 1 {
 		r.failf("Limits.TryLimit", "is not over 0")
 	}
-	for i, c := range maybe[[]object](r, o, "", "Customers") {
-		s.Tenants = append(s.Tenants, need[string](r, c, fmt.Sprintf("Customers[%d].", i), "Name"))
+	if s.Relays < 1 {
+		r.failf("NInstances", "is not over 0")
 	}
+	if !(s.ColdShare > 0 && s.ColdShare <= 1) {
+		r.failf("Guarantees.StartCapacity", "is %v, which is not over 0 and up to 1", s.ColdShare)
+	}
+	if !(s.TipMultiple > 0) {
+		r.failf("Guarantees.TipMultiple", "is not over 0")
+	}
+	s.Tenants = tenants(r, o)
 	s.Classes = classes(r, o, maybe[[]float64](r, facts, "Specifics.", "MessageAimUs"))
 	if len(r.errs) > 0 {
 		return balance.Settings{}, r.errs
@@ -142,6 +158,24 @@
 	return s, s.Validate()
 }
 
+// tenants reads the names of those whose requests are told apart.
+func tenants(r *settingsReader, o object) (names []string) {
+	for i, c := range maybe[[]object](r, o, "", "Customers") {
+		path := fmt.Sprintf("Customers[%d].", i)
+		name := need[string](r, c, path, "Name")
+		switch share := maybe[float64](r, c, path, "Share"); {
+		case share < 0 || share > 1:
+			r.failf(path+"Share", "is %v, which is no part of the whole", share)
+		case name == "":
+			r.failf(path+"Name", "is empty")
+		case slices.Contains(names, name):
+			r.failf(path+"Name", "%q is the name of another tenant too", name)
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
 // tells reads whether servers tell something. Where nothing is said of it, they may.
 func tells(r *settingsReader, facts object, key string) bool {
 	if raw, ok := facts[key]; !ok || string(raw) == "null" {
@@ -152,20 +186,21 @@
 
 func classes(r *settingsReader, o object, messageAims []float64) []balance.Class {
 	var list []balance.Class
-	for i, c := range need[[]object](r, o, "", "Classes") {
+	given := need[[]object](r, o, "", "Classes")
+	if len(given) == 0 {
+		r.failf("Classes", "names none")
+	}
+	for i, c := range given {
 		path := fmt.Sprintf("Classes[%d].", i)
 		class := balance.Class{
 			Name:     maybe[string](r, c, path, "Name"),
 			Aim:      span(r, c, path, "AimUs"),
-			Deadline: span(r, c, path, "DeadlineUs"),
+			Deadline: over(r, c, path, "DeadlineUs"),
 			Effect:   pick(r, effects, path+"Semantics", need[string](r, c, path, "Semantics")),
 		}
-		if class.Deadline <= 0 {
-			r.failf(path+"DeadlineUs", "is not over 0")
-		}
 		if class.Effect == balance.Deduplicated {
 			class.Scope = pick(r, scopes, path+"KeyScope", need[string](r, c, path, "KeyScope"))
-			class.Memory = span(r, c, path, "MemorySpanUs")
+			class.Memory = over(r, c, path, "MemorySpanUs")
 		}
 		if i < len(messageAims) {
 			class.MessageAim = time.Duration(messageAims[i]) * time.Microsecond
--- a/internal/wire/settings_test.go
+++ b/internal/wire/settings_test.go
@@ -125,3 +125,25 @@
 		}
 	}
 }
+
+// What makes no sense is told with the key that it is wrong with, each thing once.
+func TestSenselessSettingsAreToldWithTheirKey(t *testing.T) {
+	for _, c := range [][3]string{
+		{`"AskEveryUs": 10000000`, `"AskEveryUs": 0`, "settings: Guarantees.AskEveryUs is not over 0"},
+		{`"MemorySpanUs": 6000000`, `"MemorySpanUs": 0`, "settings: Classes[1].MemorySpanUs is not over 0"},
+		{`"DeadlineUs": 1300000`, `"DeadlineUs": 0`, "settings: Classes[1].DeadlineUs is not over 0"},
+		{`"NInstances": 2`, `"NInstances": 0`, "settings: NInstances is not over 0"},
+		{`"StartCapacity": 0.13`, `"StartCapacity": 1.3`, "settings: Guarantees.StartCapacity is 1.3, which is not over 0 and up to 1"},
+		{`"TipMultiple": 3.0`, `"TipMultiple": -3`, "settings: Guarantees.TipMultiple is not over 0"},
+		{`"FallUs": 1500000`, `"FallUs": 0`, "settings: Guarantees.FallUs is not over 0"},
+		{`"TryLimit": 3`, `"TryLimit": 0`, "settings: Limits.TryLimit is not over 0"},
+		{`"Share": 0.53`, `"Share": -0.53`, "settings: Customers[0].Share is -0.53, which is no part of the whole"},
+		{`"Name": "y"`, `"Name": "x"`, `settings: Customers[1].Name "x" is the name of another tenant too`},
+		{`"Name": "y"`, `"Name": ""`, "settings: Customers[1].Name is empty"},
+	} {
+		text := strings.Replace(sample, c[0], c[1], 1)
+		if _, err := ParseSettings([]byte(text)); err == nil || err.Error() != c[2] {
+			t.Errorf("%s: %v, want %s", c[1], err, c[2])
+		}
+	}
+}
