--- a/internal/lifecycle/run_test.go
+++ b/internal/lifecycle/run_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -213,6 +214,12 @@
 			t.Cleanup(func() { c.Close() })
 		}
 	}()
+	return startOn(t, admin, words, discovery, server, o, log)
+}
+
+// startOn is the same, with a server of the test's own.
+func startOn(t *testing.T, admin string, words Words, discovery, server net.Listener, o *Operator, log io.Writer) (address string, done <-chan error) {
+	t.Helper()
 	c, err := ParseConfig([]byte(configText("127.0.0.1:0", discovery.Addr().String(), server.Addr().String())))
 	if err != nil {
 		t.Fatal(err)
@@ -254,6 +261,64 @@
 	}
 }
 
+// A relay that leaves while its servers hang: who is at one of them, who comes after the word to leave, and who is in the
+// middle of an opening all get one answer, and the relay ends in time.
+func TestEveryoneIsAnsweredThoughServersHang(t *testing.T) {
+	agent, server := listen(t), listen(t)
+	came := make(chan struct{}, 8)
+	go func() {
+		for {
+			c, err := server.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go func() {
+				bufio.NewReader(c).ReadString('\n')
+				came <- struct{}{} // and it says nothing
+			}()
+		}
+	}()
+	drain := make(chan struct{})
+	address, done := startOn(t, "", Words{Leave: drain}, agent, server, &Operator{}, io.Discard)
+	say := func(text string) *bufio.Reader {
+		t.Helper()
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(10 * time.Second))
+		io.WriteString(c, text)
+		return bufio.NewReader(c)
+	}
+	opening := func() string { return fmt.Sprintf("OPEN %016x 2 c=page,d=1500\r\n", opened.Add(1)) }
+	clients := []*bufio.Reader{say(opening()), say(opening())}
+	for range clients {
+		<-came
+	}
+	half := say("PING\r\nOPEN 7")
+	if text, err := half.ReadString('\n'); text != "PONG\r\n" {
+		t.Fatalf("answered %q, %v", text, err)
+	}
+	told := time.Now()
+	close(drain)
+	clients = append(clients, half, say(opening()), say(opening()))
+	for i, r := range clients {
+		if rest, err := io.ReadAll(r); !regexp.MustCompile(`^BUSY( \d+)?\r\n$`).Match(rest) || err != nil {
+			t.Errorf("client %d was told %q, %v", i, rest, err)
+		}
+	}
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(time.Until(told.Add(2200 * time.Millisecond))): // the class's 1.5 s and 0.7
+		t.Error("the relay is still there when SIGKILL comes")
+	}
+}
+
 // A relay that leaves while it is asked answers whole or not at all, and leaves in time.
 func TestRelayLeavesWhileItIsAsked(t *testing.T) {
 	drain := make(chan struct{})
--- a/internal/spoken/amqp/both_test.go
+++ b/internal/spoken/amqp/both_test.go
@@ -416,6 +416,14 @@
 }
 
 func newSeatedRig(t testing.TB, w wire, servers int, acts []behaviour, seats int) *rig {
+	t.Helper()
+	now := make(chan struct{})
+	close(now)
+	return newLateRig(t, w, servers, acts, seats, now)
+}
+
+// newLateRig is one that takes no turn before it is told to.
+func newLateRig(t testing.TB, w wire, servers int, acts []behaviour, seats int, turns <-chan struct{}) *rig {
 	t.Helper()
 	set := balance.Settings{
 		Classes:     []balance.Class{{Name: "page", Aim: 200 * time.Millisecond, Deadline: patience}},
@@ -441,7 +449,10 @@
 	r.core.Listed(balance.ListFull, r.farm, r.names)
 	l := listen(t)
 	r.address = l.Addr().String()
-	all.Go(func() { r.core.Run(ctx) })
+	all.Go(func() {
+		<-turns
+		r.core.Run(ctx)
+	})
 	all.Go(func() { w.front(r.core, seats).Serve(ctx, l) })
 	t.Cleanup(func() {
 		l.Close()
--- a/internal/spoken/amqp/endings_test.go
+++ b/internal/spoken/amqp/endings_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"lockroad/balance"
+	"lockroad/internal/pool"
 	"lockroad/internal/steps"
 )
 
@@ -55,9 +57,11 @@
 	return v
 }
 
-// each runs a test through both fronts.
+// each runs a test through both fronts, and through AMQP with connections that transactions share.
 func each(t *testing.T, do func(t *testing.T, w wire)) {
-	for _, w := range wires {
+	shared := wireOf(func(f *Front) { f.Pool = pool.Settings{Sessions: 4, Idle: time.Second} }, nil)
+	shared.name = "amqp, shared"
+	for _, w := range append(slices.Clip(wires), shared) {
 		t.Run(w.name, func(t *testing.T) {
 			t.Parallel()
 			do(t, w)
@@ -259,3 +263,63 @@
 		}
 	})
 }
+
+// A client that leaves while its request waits is let go at once, wherever that is, and nothing of it goes out after.
+// (A dial, and the wait for a shared connection, are above.)
+func TestAClientThatLeavesWhileItWaitsIsForgotten(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		servers int
+		acts    []behaviour
+		waits   func(t *testing.T, r *rig) bool // whether it has come to where it is to wait
+		want    int                             // transactions that have come to servers by then
+	}{
+		{"for a turn", 1, nil, func(_ *testing.T, r *rig) bool { return r.core.Transactions.Len() == 1 }, 0},
+		// The last wait takes 1.6 s.
+		{"for its backoff", 7, []behaviour{breaks, breaks, breaks, breaks, breaks}, func(_ *testing.T, r *rig) bool {
+			return r.core.Counters.Passes(balance.Reset) == 5
+		}, 5},
+		{"for a server that takes nothing now", 1, []behaviour{accept}, func(_ *testing.T, r *rig) bool {
+			return r.core.Transactions.Len() == 2
+		}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			each(t, func(t *testing.T, w wire) {
+				turns := make(chan struct{})
+				r := newLateRig(t, w, c.servers, c.acts, 64, turns)
+				begin := sync.OnceFunc(func() { close(turns) })
+				defer begin()
+				r.retune(func(s *balance.Settings) { s.MaxAttempts, s.Classes[0].Deadline = 9, time.Minute })
+				stands := 0
+				if c.name != "for a turn" {
+					begin()
+				}
+				first, end := context.WithCancel(context.Background())
+				defer end()
+				if c.name == "for a server that takes nothing now" {
+					// It is cold, and another has just had what it bears.
+					r.list(balance.Ready, r.core.Clock.Now()-18*time.Second)
+					result(r, w, first, time.Minute)
+					steps.Until(t, "the first stands", func() bool { return r.core.Counters.Up.Load() == 1 })
+					stands = 1
+				}
+				ctx, leave := context.WithCancel(context.Background())
+				defer leave()
+				waits := result(r, w, ctx, time.Minute)
+				steps.Until(t, "it waits", func() bool { return c.waits(t, r) })
+				leave()
+				steps.Until(t, "it is forgotten", func() bool { return r.core.Transactions.Len() == stands })
+				await(t, "its client's end", waits)
+				begin()
+				if r.script.mu.Lock(); r.script.taken != c.want {
+					t.Errorf("%d transactions came to servers, want %d", r.script.taken, c.want)
+				}
+				r.script.mu.Unlock()
+				end()
+				if v := r.settled(t); v.taken != c.want {
+					t.Errorf("%d transactions came to servers after it had left, want %d", v.taken, c.want)
+				}
+			})
+		})
+	}
+}
