--- a/balance/sieve_test.go
+++ b/balance/sieve_test.go
@@ -151,3 +151,33 @@
 		}
 	}
 }
+
+// After the last connection nothing is left of the load, not even what rounding leaves: by a mean of next to nothing,
+// servers that had one counted as crowded beyond measure.
+func TestNothingIsLeftOfTheLoadOfAnEmptyFleet(t *testing.T) {
+	r := newRelay(t, testSettings(), ready(3)...)
+	var up []RequestID
+	for id := RequestID(1); id <= 30; id++ {
+		for _, a := range r.do(Request{ID: id, Group: uint64(id), Left: time.Second}) {
+			if s, sent := a.(Send); sent {
+				r.do(Standing{Request: id, Server: s.Server, Took: 20 * ms})
+				r.do(LoadNote{Request: id, Server: s.Server, Load: 0.1 * float64(id)})
+				up = append(up, id)
+			}
+		}
+	}
+	if len(up) < 10 {
+		t.Fatalf("%d connections stand", len(up))
+	}
+	for _, id := range up {
+		r.do(Outcome{Request: id, Status: OK, Done: true})
+	}
+	if load, _, _, _ := r.b.totals(); load != 0 {
+		t.Errorf("the kept load is %v", load)
+	}
+	for _, s := range r.b.fleet.servers {
+		if s.demand() != 0 {
+			t.Errorf("server %d has a demand of %v", s.ID, s.demand())
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -167,7 +167,9 @@
 	if s.groups[q.key()]--; s.groups[q.key()] == 0 {
 		delete(s.groups, q.key())
 	}
-	s.load -= q.load
+	if s.load -= q.load; len(s.conns) == 0 {
+		s.load = 0 // what rounding leaves is no load: draws compare loads with their mean
+	}
 }
 
 func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
@@ -389,7 +391,10 @@
 		f.survey()
 	}
 	_, odd, warm, slow := b.added(f.odd)
-	return f.load0, f.size0, f.size0 - odd + warm, slow
+	if load = f.load0; load < leastLoad {
+		load = 0
+	}
+	return load, f.size0, f.size0 - odd + warm, slow
 }
 
 // strange enters a server among the odd ones, as it is slow now.
@@ -423,6 +428,9 @@
 // others are hashed once more.
 const guessed = 64
 
+// leastLoad, in mean connections, is what rounding may leave of the load of a fleet that has none.
+const leastLoad = 1e-9
+
 // sift prepares a draw for a key.
 func (b *Balancer) sift(key uint64, meanLoad float64) *sieve {
 	f := &b.fleet
