--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -464,6 +464,7 @@
 func (t *transaction) resume(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, resumeWait)
 	defer cancel()
+	defer context.AfterFunc(t.core.closing, cancel)() // it is told to come again, before the relay ends
 	doubt := time.AfterFunc(resumeDoubt, cancel)
 	defer doubt.Stop()
 	if len(t.core.Farm.List()) == 0 {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -287,6 +287,19 @@
 	})
 }
 
+// The same for one that was open before the start and is not up again yet.
+func TestAResumedConnectionIsAnsweredBeforeTheEnd(t *testing.T) {
+	bench(t, 1, func(k *Core, _ func(int, balance.State)) {
+		x := &fake{t: t, k: k, acts: always(act{how: balance.Full})}
+		began := k.Clock.Now()
+		time.AfterFunc(200*ms, k.TurnAway)
+		k.Serve(context.Background(), Ask{Front: "fake", At: "s-0", Ask: balance.Ask{GiveUp: began + time.Second, Open: true}}, x)
+		if took := k.Clock.Now() - began; took != 200*ms || fmt.Sprint(x.answers) != "[unavailable]" {
+			t.Errorf("after %v the client has been told %v", took, x.answers)
+		}
+	})
+}
+
 // Whatever servers, clients and the list do, each transaction gets one final
 // answer while its client waits, and one pass at a time.
 func FuzzTransactions(f *testing.F) {
