--- a/internal/spoken/amqp/endings_test.go
+++ b/internal/spoken/amqp/endings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"os"
 	"slices"
@@ -10,6 +11,8 @@
 	"testing"
 	"time"
 
+	client10 "github.com/Azure/go-amqp"
+
 	"lockroad/balance"
 	"lockroad/internal/pool"
 	"lockroad/internal/steps"
@@ -323,3 +326,43 @@
 		})
 	}
 }
+
+// A shared connection that has idled is closed by its server just as the next attach comes: that may have run. It is
+// repeated where a repeat is harmless, on another connection, and fails where it is not.
+func TestASharedConnectionThatIsClosedUnderAnAttach(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		effect   balance.Effect
+		sessions int64 // that servers have seen in all
+		cond     string
+	}{{"idempotent", balance.Idempotent, 3, ""}, {"at most once", balance.AtMostOnce, 2, condInternal}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			// The first link comes and goes; the second's attach is read, and its connection closed.
+			s := &shares{attaching: func(_, session int64) bool { return session != 2 }}
+			w := wireOf(func(f *Front) { f.Pool = pool.Settings{Sessions: 4, Idle: time.Minute} }, nil)
+			w.server = s.serve
+			r := newRig(t, w, 2, nil)
+			r.retune(func(s *balance.Settings) { s.Classes[0].Effect, s.Classes[0].Deadline = c.effect, time.Minute })
+			session := clientOf(t, r)
+			first := attach(t, session, "first")
+			ctx, cancel := context.WithTimeout(context.Background(), serverWait)
+			defer cancel()
+			if err := first.Close(ctx); err != nil {
+				t.Fatal(err)
+			}
+			steps.Until(t, "the first has ended", func() bool { return r.core.Transactions.Len() == 0 })
+			_, err := session.NewSender(ctx, "there", &client10.SenderOptions{Name: "second", Properties: linkProperties()})
+			var end *client10.Error
+			if c.cond == "" && err != nil || c.cond != "" && (!errors.As(err, &end) || end.Condition != client10.ErrCond(c.cond)) {
+				t.Errorf("the second's answer is %v", err)
+			}
+			if got := s.sessions.Load(); got != c.sessions {
+				t.Errorf("servers have seen %d sessions, want %d", got, c.sessions)
+			}
+			if n := r.core.Counters.Passes(balance.Reset); n != 1 {
+				t.Errorf("%d passes were reset", n)
+			}
+		})
+	}
+}
