--- a/internal/spoken/discovery/discovery.go
+++ b/internal/spoken/discovery/discovery.go
@@ -23,9 +23,9 @@
 )
 
 const (
-	quietMost  = 3 * time.Second // a sound watch says something every 2 s
-	answerMost = 6 * time.Second // a call for a watch is answered by then, or never
-	busyWait   = time.Second     // between two watches where discovery says that it is overbooked, as againWait
+	quietMost  = 2800 * time.Millisecond // a sound watch says something every 2 s
+	answerMost = 6 * time.Second         // a call for a watch is answered by then, or never
+	busyWait   = time.Second             // between two watches where discovery says that it is overbooked, as againWait
 	busyMost   = 8 * time.Second
 	listMost   = 64 << 20 // bytes of one list: 100,000 servers, indented. Memory is taken as a list comes
 )
