--- a/balance/balance.go
+++ b/balance/balance.go
@@ -137,6 +137,7 @@
 	delete(b.leaving, token)
 	switch {
 	case s != nil:
+		s.sending = false
 		b.sendAway(s)
 	case !ok:
 	case q == nil && (b.list.out || b.list.fails > 0):
@@ -167,9 +168,7 @@
 	q := b.begin(ev.Request)
 	q.at, q.attempts = b.fleet.find(ev.Server), 1
 	b.stand(q)
-	if s := q.at; s != nil && !s.sending {
-		b.sendAway(s)
-	}
+	b.sendAway(q.at)
 }
 
 // advance sends a request that has no attempt out, or lets it wait.
@@ -275,6 +274,7 @@
 		b.window.size = min(windowMax, b.window.size+1/b.window.size)
 	}
 	b.stand(q)
+	b.sendAway(s) // it may have begun to drain while it had no one to send away
 }
 
 func (b *Balancer) ended(ev Outcome) {
@@ -528,8 +528,7 @@
 // sendAway guards against clients that are cut off when their draining server stops. They
 // move a part at a time, lest those who take them in are swamped; of many relays, by chance.
 func (b *Balancer) sendAway(s *server) {
-	if s.State != Draining || len(s.conns) == 0 {
-		s.sending = false
+	if s == nil || s.sending || s.State != Draining || len(s.conns) == 0 {
 		return
 	}
 	s.sending = true
--- a/balance/facade.go
+++ b/balance/facade.go
@@ -328,8 +328,8 @@
 		f.b.part = m.Part
 	case Stands:
 		if t := m.Ticket; !t.over {
+			f.wake(t, Step{Kind: StepUp, Server: t.at}) // first: the module may have it move at once
 			f.handle(Standing{Request: t.id, Server: t.at, Took: m.Took})
-			f.wake(t, Step{Kind: StepUp, Server: t.at})
 		}
 	case Ended:
 		if t := m.Ticket; !t.over {
@@ -374,8 +374,8 @@
 	}
 	if t.ask.Open {
 		t.at = t.ask.At
+		f.wake(t, Step{Kind: StepUp, Server: t.at}) // first: the module may have it move at once
 		f.handle(Resumed{Request: q, Server: t.at})
-		f.wake(t, Step{Kind: StepUp, Server: t.at})
 		return
 	}
 	f.handle(q)
--- a/internal/spoken/amqp/endings_test.go
+++ b/internal/spoken/amqp/endings_test.go
@@ -97,6 +97,24 @@
 	})
 }
 
+// A server begins to drain while a transaction is at it, and then accepts: its client is moved like those that stood there.
+// The drain found none to move, and nobody looked again: the client was cut off as the server stopped.
+func TestWhoIsAcceptedByAServerThatDrainsMoves(t *testing.T) {
+	each(t, func(t *testing.T, w wire) {
+		g := newGate()
+		r := newRig(t, w, 1, nil)
+		r.script.hold = g.hold
+		r.retune(func(s *balance.Settings) { s.Classes[0].Deadline = time.Minute })
+		late := result(r, w, context.Background(), time.Minute)
+		await(t, "it comes to a server", g.came)
+		r.list(balance.Draining, 0) // the module's mail keeps its order
+		close(g.open)
+		if s := await(t, "its end", late); s != (seen{"up", false, "moved"}) {
+			t.Errorf("who is accepted late is %+v", s)
+		}
+	})
+}
+
 // A relay that leaves answers who waits. What it may say depends on whether the pass that is out may have run: where a
 // repeat is not harmless, the unavailable answer would have it run twice.
 func TestWhoWaitsIsAnsweredByItsClass(t *testing.T) {
--- a/internal/spoken/line/front_test.go
+++ b/internal/spoken/line/front_test.go
@@ -256,3 +256,21 @@
 	c.say(fmt.Sprintf(first, 4000))
 	c.want("BUSY\r\n")
 }
+
+// A connection from before the start whose server drains by then is up again, and moves: the module may have it move in the
+// very turn in which it takes it up.
+func TestAConnectionFromBeforeTheStartMovesOffAServerThatDrains(t *testing.T) {
+	s := newSite(t, 8)
+	s.core.Listed(balance.ListDelta, []balance.Server{{ID: s.core.Farm.ID("s-1"), State: balance.Draining, Weight: 1}},
+		[]string{s.server.Addr().String()})
+	client := s.client()
+	client.say(strings.Replace(fmt.Sprintf(first, 4000), "\r\n", ",at=s-1\r\n", 1))
+	server := s.peer(s.server.Accept())
+	if text, err := server.r.ReadString('\n'); err != nil || !strings.Contains(text, "at=s-1") {
+		t.Fatalf("the server was told %q, %v", text, err)
+	}
+	server.say("UP receipt of 7\r\n")
+	client.want("UP receipt of 7\r\nMOVE\r\n")
+	client.wantEnd(false)
+	server.wantEnd(false)
+}
