--- /dev/null
+++ b/internal/spoken/amqp/blocked_test.go
@@ -0,0 +1,258 @@
+package amqp
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	client10 "github.com/Azure/go-amqp"
+
+	"lockroad/balance"
+	"lockroad/internal/pool"
+	"lockroad/internal/steps"
+)
+
+// A connection that transactions share, and whose server stops reading: whoever writes on it waits for the one before.
+// (The line front has a connection for each transaction, which is new as the opening is written.)
+
+// dam is an application server that reads up to so many attaches, and then nothing until it is let.
+type dam struct {
+	net.Listener
+	attaches int
+	window   uint32 // transfers that it takes in a session
+	let      func()
+	may      chan struct{} // closed by let
+	over     chan struct{} // closed once its one connection has ended
+
+	mu       sync.Mutex
+	attached []string // links, by name
+	begun    int      // sessions
+	err      error    // what is wrong with what came, or how it ended
+}
+
+var damPage = bytes.Repeat([]byte("a page "), 1000)
+
+func newDam(t *testing.T, attaches int, window uint32) *dam {
+	t.Helper()
+	little := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 8<<10) })
+	}}
+	l, err := little.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &dam{Listener: l, attaches: attaches, window: window, may: make(chan struct{}), over: make(chan struct{})}
+	d.let = sync.OnceFunc(func() { close(d.may) })
+	go d.serve(t)
+	t.Cleanup(func() { d.let(); d.Close(); <-d.over })
+	return d
+}
+
+func (d *dam) serve(t *testing.T) {
+	defer close(d.over)
+	tcp, err := d.Accept()
+	if err != nil {
+		return
+	}
+	defer tcp.Close()
+	c, ok := greetClient(t, tcp.(*net.TCPConn))
+	if !ok {
+		return
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go c.beat(time.Second, stop) // it lives all the while
+	sessions := make(map[uint16]*session)
+	for {
+		f, err := c.read(frameAMQP, time.Minute)
+		d.mu.Lock()
+		if err != nil {
+			d.err = err
+			d.mu.Unlock()
+			return
+		}
+		switch f.code {
+		case codeOpen:
+			c.opened(f.perf)
+			c.write(0, open("dam").with(3, uint16(7)), nil)
+		case codeBegin:
+			d.begun++
+			s := newSession(c, f.channel)
+			s.begun(f.perf)
+			sessions[f.channel] = s
+			c.write(f.channel, s.begin(f.channel).with(2, d.window), nil)
+		case codeAttach:
+			d.attached = append(d.attached, text(f.field(0)))
+			s := sessions[f.channel]
+			s.write(f.channel, f.perf.with(2, !f.flag(2)).with(9, nil).with(13, nil), nil)
+			s.write(f.channel, perf{codeFlow, list{uint32(0), d.window, uint32(0), uint32(windowMost), f.field(1), uint32(0), uint32(50000)}}, nil)
+		case codeTransfer:
+			if !bytes.Contains(f.payload, damPage) {
+				d.err = errors.New("a delivery is not what its client has sent")
+			}
+		}
+		n := len(d.attached)
+		d.mu.Unlock()
+		if n == d.attaches {
+			<-d.may
+		}
+	}
+}
+
+// damRig is a relay whose transactions share connections to such a server, and a client that has one.
+func damRig(t *testing.T, d *dam) (*rig, *Front, *client10.Sender) {
+	t.Helper()
+	var front *Front
+	r := newRig(t, wireOf(func(f *Front) {
+		f.Pool = pool.Settings{Sessions: 4, Idle: time.Minute}
+		front = f
+	}, nil), 1, nil)
+	r.retune(func(s *balance.Settings) { s.Connect, s.Classes[0].Deadline = time.Minute, time.Minute })
+	r.names = []string{d.Addr().String()}
+	r.list(balance.Ready, 0)
+	first, err := clientOf(t, r).NewSender(t.Context(), "there", &client10.SenderOptions{
+		Name: "first", Properties: linkProperties(), SettlementMode: client10.SenderSettleModeSettled.Ptr(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, front, first
+}
+
+// flood sends deliveries until the connection to the server is blocked.
+func flood(t *testing.T, f *Front, link *client10.Sender) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	t.Cleanup(func() { stop(); <-ended })
+	go func() {
+		defer close(ended)
+		for link.Send(ctx, client10.NewMessage(damPage), nil) == nil {
+		}
+	}()
+	held := 0 // looks in a row at which somebody was writing
+	steps.Until(t, "the connection is blocked", func() bool {
+		m := muxOf(f)
+		if held++; m.conn.mu.TryLock() {
+			held = 0
+			m.conn.mu.Unlock()
+		}
+		return held > 100
+	})
+}
+
+// muxOf is the one shared connection.
+func muxOf(f *Front) *mux {
+	f.trunks.mu.Lock()
+	defer f.trunks.mu.Unlock()
+	for _, tr := range f.trunks.open {
+		return tr.mux
+	}
+	return nil
+}
+
+func (m *mux) lanes() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.ours)
+}
+
+// An attach waits for a connection on which another transaction is being written, to a server that does not read. Its client
+// leaves, its server drains, or the relay ends: nothing of it is sent once the server reads again, and nobody waits for that.
+func TestNothingIsSentOnceItsTurnOnASharedConnectionComesTooLate(t *testing.T) {
+	for _, c := range []string{"the client leaves", "the server drains", "the relay ends"} {
+		t.Run(c, func(t *testing.T) {
+			t.Parallel()
+			d := newDam(t, 1, 10000)
+			r, f, first := damRig(t, d)
+			flood(t, f, first)
+			second := dialRaw(t, r.address).begin()
+			second.attach(1, mapping{symbol(propClass), "page", symbol(propGiveUp), uint32(60000)})
+			steps.Until(t, "the second waits for its turn", func() bool { return muxOf(f).lanes() == 2 })
+			switch c {
+			case "the client leaves":
+				second.write(3, perf{codeDetach, list{uint32(1), true}}, nil)
+				second.attach(2, nil) // its answer shows that the detach was taken
+				second.want(codeAttach, 0, "")
+				second.want(codeDetach, 2, condInvalid)
+				d.let()
+				steps.Until(t, "the second's pass is over", func() bool { return r.core.Counters.Passes(balance.Moot) == 1 })
+			case "the server drains":
+				r.list(balance.Draining, 0)
+				d.let()
+				second.want(codeAttach, 0, "")
+				second.want(codeDetach, 2, condLimit)
+			case "the relay ends":
+				began := time.Now()
+				r.end()
+				if took := time.Since(began); took > 2*time.Second {
+					t.Errorf("the front's end takes %v", took)
+				}
+				d.let()
+			}
+			first.Close(t.Context())
+			r.end()
+			<-d.over
+			if d.begun != 1 || !slices.Equal(d.attached, []string{"first"}) {
+				t.Errorf("the server has seen %d sessions, and the links %q", d.begun, d.attached)
+			}
+		})
+	}
+}
+
+// A frame that went out in part is the last on its connection: the next would be read as its rest, by a server that
+// delivers it. All who share the connection are told that their server is lost.
+func TestNothingFollowsAFrameThatWentOutInPart(t *testing.T) {
+	t.Parallel()
+	d := newDam(t, 2, 10000)
+	r, f, first := damRig(t, d)
+	second := dialRaw(t, r.address).begin()
+	second.attach(1, mapping{symbol(propClass), "page", symbol(propGiveUp), uint32(60000)})
+	second.want(codeAttach, 0, "")
+	second.want(codeFlow, 0, "")
+	flood(t, f, first)
+	for {
+		got, err := second.read(frameAMQP, 2*writeMost)
+		if err != nil {
+			t.Fatalf("the second is told nothing of its server's loss: %v", err)
+		}
+		if cond, _ := got.condition(2); got.code == codeDetach && cond == condForced {
+			break
+		}
+	}
+	d.let()
+	<-d.over
+	if !errors.Is(d.err, io.EOF) && !errors.Is(d.err, io.ErrUnexpectedEOF) && !errors.Is(d.err, syscall.ECONNRESET) {
+		t.Errorf("after the part of a frame the server reads: %v", d.err)
+	}
+}
+
+// A server that lives and takes no transfer for long is silent as far as its client goes: the client is moved. It went on
+// sending to a server that got nothing of it.
+func TestAServerWhoseWindowStaysShutIsLeft(t *testing.T) {
+	t.Parallel()
+	d := newDam(t, 1000, 1)
+	r, _, first := damRig(t, d)
+	if err := first.Send(t.Context(), client10.NewMessage(damPage), nil); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*writeMost)
+	defer cancel()
+	var end *client10.LinkError
+	for err := error(nil); ; {
+		if err = first.Send(ctx, client10.NewMessage(damPage), nil); err != nil {
+			if !errors.As(err, &end) || end.RemoteErr == nil || end.RemoteErr.Condition != condDetachForced {
+				t.Fatalf("its client is told %v", err)
+			}
+			break
+		}
+	}
+	steps.Until(t, "the transaction is over", func() bool { return r.core.Transactions.Len() == 0 })
+}
--- a/internal/spoken/amqp/both_test.go
+++ b/internal/spoken/amqp/both_test.go
@@ -409,6 +409,7 @@
 	farm    []balance.Server
 	names   []string
 	handed  atomic.Uint64 // of transactions, handed out
+	end     func()        // ends the relay and its servers, and waits for both
 }
 
 func newRig(t testing.TB, w wire, servers int, acts []behaviour) *rig {
@@ -454,11 +455,12 @@
 		r.core.Run(ctx)
 	})
 	all.Go(func() { w.front(r.core, seats).Serve(ctx, l) })
-	t.Cleanup(func() {
+	r.end = sync.OnceFunc(func() {
 		l.Close()
 		cancel()
 		all.Wait()
 	})
+	t.Cleanup(r.end)
 	return r
 }
 
--- a/internal/spoken/amqp/frame.go
+++ b/internal/spoken/amqp/frame.go
@@ -206,7 +206,7 @@
 	most int // the peer's largest frame
 	buf  []byte
 	sent time.Time
-	quit bool // nothing may follow a close
+	quit bool // nothing may follow a close, or a frame that went out in part
 }
 
 func newConn(c socket) *conn {
@@ -244,21 +244,28 @@
 	return parseFrame(b)
 }
 
-var errQuit = errors.New("the connection is closing")
+var (
+	errQuit = errors.New("the connection is closing")
+	errMoot = errors.New("it is not to be sent any more")
+)
 
 // write sends a frame in one piece; nothing goes out after a close.
 func (c *conn) write(channel uint16, p perf, payload []byte) error {
-	return c.send(channel, p, payload, nil)
+	return c.send(channel, p, payload, nil, nil)
 }
 
 // send is write for a session that others go on beside: nothing of it may go out after its end. shut is whether that has;
-// it is guarded by the connection's lock. nil: the session's end is none of the connection's business.
-func (c *conn) send(channel uint16, p perf, payload []byte, shut *bool) error {
+// it is guarded by the connection's lock. nil: the session's end is none of the connection's business. may is asked
+// just before the frame goes out, after the wait for others who write; nil: it may.
+func (c *conn) send(channel uint16, p perf, payload []byte, shut *bool, may func() bool) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.quit || shut != nil && *shut {
 		return errQuit
 	}
+	if may != nil && !may() {
+		return errMoot
+	}
 	if shut != nil {
 		*shut = p.code == codeEnd
 	}
@@ -268,11 +275,20 @@
 	return c.flush()
 }
 
-// flush writes what is in the buffer; the caller holds the lock.
+// flush writes what is in the buffer; the caller holds the lock. A failure ends the connection: after a frame that
+// went out in part, the next would be read as its rest, and the reader is to see that its peer is gone.
 func (c *conn) flush() error {
 	c.sent = time.Now()
 	c.SetWriteDeadline(c.sent.Add(writeMost))
 	_, err := c.Write(c.buf)
+	if err != nil {
+		c.quit = true
+		if over, ok := c.socket.(interface{ NetConn() net.Conn }); ok {
+			over.NetConn().Close() // closing TLS says a last word, which waits as this one did
+		} else {
+			c.Close()
+		}
+	}
 	return err
 }
 
--- a/internal/spoken/amqp/front.go
+++ b/internal/spoken/amqp/front.go
@@ -48,6 +48,7 @@
 	if f.Pool.Sessions > 0 {
 		f.trunks = newTrunks(f, f.Pool)
 		defer f.trunks.close()
+		defer context.AfterFunc(ctx, f.trunks.close)() // at the relay's end nobody waits for a server that does not read
 	}
 	return spoken.Accept(ctx, l, f.Hall, f.client)
 }
--- a/internal/spoken/amqp/link.go
+++ b/internal/spoken/amqp/link.go
@@ -77,7 +77,7 @@
 	defer stop()
 	l.mu.Lock()
 	l.up, l.pulse, l.attached = u, pulse, true
-	l.out = newOutbox(l.session, u)
+	l.out = newOutbox(l.session, u, pulse.Silent)
 	go l.out.run()
 	credit, gone := l.credit, l.gone
 	l.mu.Unlock()
--- a/internal/spoken/amqp/mux.go
+++ b/internal/spoken/amqp/mux.go
@@ -299,6 +299,15 @@
 	return l.isDone()
 }
 
+// drop gives up a lane of which the peer has heard nothing.
+func (l *lane) drop() {
+	l.mu.Lock()
+	l.ended, l.said, l.done = true, true, true
+	l.mu.Unlock()
+	l.session.end()
+	l.mux.forget(l)
+}
+
 func (l *lane) isDone() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/spoken/amqp/outbox.go
+++ b/internal/spoken/amqp/outbox.go
@@ -1,6 +1,7 @@
 package amqp
 
 import (
+	"errors"
 	"sync"
 )
 
@@ -24,6 +25,7 @@
 type outbox struct {
 	session *session // the client's
 	up      *upstream
+	stuck   func() // told that the server has taken no transfer for long, and nothing more goes to it
 
 	mu    sync.Mutex
 	queue []parcel
@@ -41,8 +43,8 @@
 	sent     func() // called after a transfer that ends a delivery has been sent
 }
 
-func newOutbox(s *session, u *upstream) *outbox {
-	return &outbox{session: s, up: u, more: make(chan struct{}, 1)}
+func newOutbox(s *session, u *upstream, stuck func()) *outbox {
+	return &outbox{session: s, up: u, stuck: stuck, more: make(chan struct{}, 1)}
 }
 
 // put takes something for the server. It fails where there is no room for it.
@@ -117,8 +119,11 @@
 		default:
 			err = o.up.write(o.up.channel, p.perf, nil)
 		}
+		if errors.Is(err, errWindow) {
+			o.stuck() // the other direction may go on: deliveries would be taken for a server that never gets them
+		}
 		if err != nil {
-			return // the other direction sees why
+			return // else the other direction sees why
 		}
 	}
 }
--- a/internal/spoken/amqp/server.go
+++ b/internal/spoken/amqp/server.go
@@ -14,7 +14,6 @@
 
 	"lockroad/balance"
 	"lockroad/internal/core"
-	"lockroad/internal/memory"
 	"lockroad/internal/pool"
 	"lockroad/internal/secure"
 	"lockroad/internal/spoken"
@@ -79,16 +78,22 @@
 	u.SetReadDeadline(time.Now().Add(wait))
 }
 
-// reach opens a session at a server.
-func (f *Front) reach(ctx context.Context, to memory.Server, address string, bound time.Duration) (*upstream, error) {
+// reach opens a session at a server, for a pass that is to go out.
+func (f *Front) reach(ctx context.Context, out core.Out, address string, bound time.Duration) (*upstream, error) {
 	if f.trunks != nil {
-		l, id, err := f.trunks.lane(ctx, to, address, bound)
+		l, id, err := f.trunks.lane(ctx, out.To, address, bound)
 		if err != nil {
 			return nil, err
 		}
 		u := &upstream{session: l.session, lane: l, shared: id, trunks: f.trunks, stop: make(chan struct{})}
 		// The attach follows without waiting for the answer, which saves a round trip.
-		if err := u.write(u.channel, u.begin(nil), nil); err != nil {
+		// Who writes on the connection already may keep it for seconds, if the server does not read.
+		err = u.writeIf(func() bool { return out.May(ctx) }, u.begin(nil))
+		if errors.Is(err, errMoot) {
+			l.drop()
+			return nil, err
+		}
+		if err != nil {
 			u.Close()
 			return nil, err
 		}
@@ -266,7 +271,10 @@
 	if host, _, err := net.SplitHostPort(address); err == nil && l.front.ServerPort != 0 {
 		address = net.JoinHostPort(host, strconv.Itoa(l.front.ServerPort))
 	}
-	u, err := l.front.reach(ctx, out.To, address, min(cmp.Or(l.front.Core.Terms().Connect, out.Wait), out.Wait))
+	u, err := l.front.reach(ctx, out, address, min(cmp.Or(l.front.Core.Terms().Connect, out.Wait), out.Wait))
+	if errors.Is(err, errMoot) {
+		return nil, balance.Moot
+	}
 	if err != nil {
 		return nil, spoken.Unsent(ctx)
 	}
@@ -285,12 +293,12 @@
 
 // ask returns what came of the attach at a server.
 func (l *link) ask(ctx context.Context, u *upstream, out core.Out) balance.Status {
-	if !out.May(ctx) {
-		return balance.Moot
-	}
 	props, _ := l.attach.field(13).(mapping)
 	p := l.attach.with(1, uint32(0)).with(13, props.with(propGiveUp, uint32(max(1, out.Wait.Milliseconds()))))
-	if err := u.write(u.channel, p, nil); err != nil {
+	switch err := u.writeIf(func() bool { return out.May(ctx) }, p); {
+	case errors.Is(err, errMoot):
+		return balance.Moot
+	case err != nil:
 		return spoken.Unsent(ctx) // of a frame that is not whole nothing runs
 	}
 	l.front.Core.Figures.Tries.Add(1)
--- a/internal/spoken/amqp/session.go
+++ b/internal/spoken/amqp/session.go
@@ -37,7 +37,12 @@
 
 // write sends a frame of the session.
 func (s *session) write(channel uint16, p perf, payload []byte) error {
-	return s.conn.send(channel, p, payload, s.shut)
+	return s.conn.send(channel, p, payload, s.shut, nil)
+}
+
+// writeIf sends a frame of the session if it still may as its turn on the connection comes.
+func (s *session) writeIf(may func() bool, p perf) error {
+	return s.conn.send(s.channel, p, nil, s.shut, may)
 }
 
 // begin is the relay's begin; remote is the channel it answers, or nil.
