--- a/internal/spoken/discovery/discovery.go
+++ b/internal/spoken/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -27,7 +28,8 @@
 	answerMost = 6 * time.Second         // a call for a watch is answered by then, or never
 	busyWait   = time.Second             // between two watches where discovery says that it is overbooked, as againWait
 	busyMost   = 8 * time.Second
-	listMost   = 64 << 20 // bytes of one list: 100,000 servers, indented. Memory is taken as a list comes
+	staleFor   = 6 * time.Second // what discovery has to tell has come to every agent by then
+	listMost   = 64 << 20        // bytes of one list: 100,000 servers, indented. Memory is taken as a list comes
 )
 
 // pace is how a watch is opened.
@@ -87,11 +89,16 @@
 	revision uint64
 	fails    int // watches since one last brought anything
 
+	newest uint64          // revision of the newest list, whichever agent told it
+	told   map[string]told // of each server that is listed, or was lately
+	swept  time.Time       // those that are long gone were left out of it then
+
 	first chan struct{} // closed once a watch has been answered; nil: nobody asked
 
 	mu     sync.Mutex
 	kept   List
 	next   string             // where the watch is to be opened from now on; "" if where it is
+	whole  bool               // the next watch wants the list whole
 	cancel context.CancelFunc // ends the watch that is open
 }
 
@@ -114,9 +121,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.next != "" && w.next != w.Address {
-		w.Address, w.revision = w.next, 0
+		w.Address, w.whole = w.next, true
+	}
+	if w.whole {
+		w.revision = 0
 	}
-	w.next = ""
+	w.next, w.whole = "", false
 	ctx, w.cancel = context.WithCancel(ctx)
 	return ctx, w.cancel
 }
@@ -191,6 +201,7 @@
 	}
 	servers := make([]balance.Server, 0, len(l.Members))
 	addresses := make([]string, 0, len(l.Members))
+	held := w.hold(&l)
 	for _, m := range l.Members {
 		phase, ok := phases[m.Phase]
 		if !ok || m.ID == "" || !(m.Size >= 0 && m.Size < 1e12) {
@@ -208,9 +219,81 @@
 	w.fails = 0
 	w.Core.Revised(l.Revision)
 	w.Core.Listed(kind, servers, addresses)
+	w.note(l, kind, held)
 	return nil
 }
 
+// told is what was last told of a server, and since when that is so.
+type told struct {
+	phase string
+	since time.Time
+}
+
+// hold leaves servers that were told to drain, or to be gone, as they are where an older list has them ready: the agent
+// that tells it, as one that has just been moved to, has not heard of it yet. It tells whether there are any. One that
+// has started since is another matter.
+func (w *Watcher) hold(l *List) (held bool) {
+	if l.Revision >= w.newest {
+		return false
+	}
+	for i, m := range l.Members {
+		was, is := w.told[m.ID]
+		if !is || was.phase == "ready" || m.Phase != "ready" || time.Since(was.since) >= staleFor || m.UpSince > was.since.UnixMilli() {
+			continue
+		}
+		if !held {
+			held, l.Members = true, slices.Clone(l.Members)
+		}
+		l.Members[i].Phase = was.phase
+	}
+	return held
+}
+
+// note notes what a list that was taken has told. Where servers were held against an older one, the list is asked for
+// anew, whole, once every agent has the newer: what it says then is so.
+func (w *Watcher) note(l List, kind balance.ListKind, held bool) {
+	now := time.Now()
+	is := func(id, phase string) {
+		if w.told[id].phase != phase {
+			w.told[id] = told{phase, now}
+		}
+	}
+	if w.told == nil {
+		w.told = make(map[string]told)
+	}
+	if w.newest = max(w.newest, l.Revision); kind != balance.ListDelta {
+		if !held {
+			w.newest = l.Revision
+		}
+		named := make(map[string]bool, len(l.Members))
+		for _, m := range l.Members {
+			named[m.ID] = true
+		}
+		for id := range w.told {
+			if !named[id] {
+				is(id, "gone")
+			}
+		}
+	}
+	for _, m := range l.Members {
+		is(m.ID, m.Phase)
+	}
+	if now.Sub(w.swept) >= staleFor {
+		w.swept = now
+		maps.DeleteFunc(w.told, func(_ string, t told) bool { return t.phase == "gone" && now.Sub(t.since) >= staleFor })
+	}
+	if held {
+		w.Core.Log.Warn("an older list has servers ready that were told to leave; they are held back", "revision", l.Revision, "newest", w.newest)
+		time.AfterFunc(staleFor, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.whole = true; w.cancel != nil {
+				w.cancel()
+			}
+		})
+	}
+}
+
 // answered notes that a watch has brought a list.
 func (w *Watcher) answered() {
 	w.mu.Lock()
@@ -318,8 +401,9 @@
 	for {
 		if out < p.calls {
 			out++
+			address, revision := w.Address, w.revision // which are another turn's once one is answered
 			go func() {
-				c := w.call(ctx, w.Address, w.revision, most)
+				c := w.call(ctx, address, revision, most)
 				select {
 				case answers <- c:
 				case <-ctx.Done(): // another is the watch
--- a/internal/spoken/discovery/discovery_test.go
+++ b/internal/spoken/discovery/discovery_test.go
@@ -427,6 +427,48 @@
 	}
 }
 
+// A new agent may have an older list than the last one had. Who was told to drain, or is gone, does not come back by it, but
+// by a newer one, by a start since then, or once every agent must have heard.
+func TestAnOlderListOfANewAgentBringsNobodyBack(t *testing.T) {
+	t.Parallel()
+	before, after := newScripted(t), newScripted(t)
+	k, w := watching(t, before.address, false)
+	old, _ := before.next("0")
+	old.answer(list(50, true, member("s-1", "ready"), member("s-2", "ready"), member("s-3", "ready"), member("s-4", "ready"), member("s-5", "ready")))
+	io.WriteString(old, chunk(list(51, false, member("s-1", "draining"), member("s-2", "draining"), member("s-3", "draining"), member("s-4", "gone"))))
+	steps.Until(t, "the drains are told", func() bool { return farmOf(k) == "s-1=draining s-2=draining s-3=draining s-4=gone s-5=ready" })
+	passes, _ := k.Farm.Find(k.Farm.ID("s-1"))
+	w.Follow(after.address)
+	h, _ := after.next("0")
+	again := strings.Replace(member("s-3", "ready"), `"up_since_ms":0`, fmt.Sprintf(`"up_since_ms":%d`, time.Now().Add(time.Second).UnixMilli()), 1)
+	h.answer(list(48, true, member("s-1", "ready"), member("s-2", "ready"), again, member("s-4", "ready"), member("s-5", "draining"), member("s-6", "ready")))
+	steps.Until(t, "the new agent's list is there", func() bool { return strings.HasSuffix(farmOf(k), "s-6=ready") })
+	if got := farmOf(k); got != "s-1=draining s-2=draining s-3=ready s-4=gone s-5=draining s-6=ready" {
+		t.Errorf("the farm is %s", got)
+	}
+	if !passes.IsLeaving() {
+		t.Error("a pass would go to a server that drains")
+	}
+	io.WriteString(h, chunk(list(52, false, member("s-2", "ready"))))
+	steps.Until(t, "a newer list has it ready", func() bool { return strings.Contains(farmOf(k), "s-2=ready") })
+	began := time.Now()
+	go func() { // a sound watch says something
+		for sound := h; ; time.Sleep(time.Second) {
+			if _, err := io.WriteString(sound, chunk("\n")); err != nil {
+				return
+			}
+		}
+	}()
+	h, _ = after.next("0") // the list is asked for once more
+	if took := time.Since(began); took < staleFor/2 {
+		t.Errorf("the list is asked for anew after %v", took)
+	}
+	h.answer(list(49, true, member("s-1", "ready"), member("s-2", "ready"), member("s-4", "ready")))
+	steps.Until(t, "what the agent still says is so", func() bool {
+		return farmOf(k) == "s-1=ready s-2=ready s-3=gone s-4=ready s-5=gone s-6=gone"
+	})
+}
+
 // Servers keep the numbers of their localities, and two that no configuration names are two: a repeat is dropped within
 // one zone alone.
 func TestLocalitiesKeepTheirNumbers(t *testing.T) {
