--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -69,6 +69,14 @@
 	return ctx.Err() == nil && (o.Resume || !o.To.IsLeaving()) && (o.Latest == 0 || o.clock.Now() < o.Latest)
 }
 
+// Left is how long the answer is still waited for: what its server is told. ctx is the pass's own, with its time-out.
+func (o Out) Left(ctx context.Context) time.Duration {
+	if by, ok := ctx.Deadline(); ok {
+		return min(o.Wait, time.Until(by))
+	}
+	return o.Wait
+}
+
 // Core runs transactions over the module.
 type Core struct {
 	Clock        Clock
--- a/internal/spoken/amqp/both_test.go
+++ b/internal/spoken/amqp/both_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -51,9 +52,10 @@
 	out   int // transactions that are at a server and unanswered
 	most  int // of them at a time
 	ends  chan struct{}
-	last  string // the address that the last transaction came to
-	spare string // none may come to this one
-	hold  func() // what a server waits for before it does anything; nil: nothing. Set before the first comes
+	last  string        // the address that the last transaction came to
+	spare string        // none may come to this one
+	waits time.Duration // that the last was told the relay waits
+	hold  func()        // what a server waits for before it does anything; nil: nothing. Set before the first comes
 }
 
 func (s *script) next(t testing.TB, at net.Addr) behaviour {
@@ -79,6 +81,13 @@
 	return s.acts[s.taken-1]
 }
 
+// told notes how long a server was told that the relay waits.
+func (s *script) told(wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waits = wait
+}
+
 func (s *script) answered() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,6 +143,10 @@
 	if !strings.HasPrefix(text, "OPEN ") {
 		t.Errorf("a server was told %q", text)
 	}
+	_, told, _ := strings.Cut(text, ",d=")
+	told, _, _ = strings.Cut(told, ",")
+	ms, _ := strconv.Atoi(told)
+	s.told(time.Duration(ms) * time.Millisecond)
 	act := s.next(t, c.LocalAddr())
 	up := func(more string) { s.answered(); io.WriteString(c, "UP r1\r\n"+more) }
 	switch act {
@@ -301,6 +314,9 @@
 
 // amqpAttached tells whether the connection goes on.
 func amqpAttached(t testing.TB, c *conn, session *session, p perf, s *script) bool {
+	props, _ := p.field(13).(mapping)
+	ms, _ := whole(props.get(propGiveUp))
+	s.told(time.Duration(ms) * time.Millisecond)
 	act := s.next(t, c.LocalAddr())
 	reply := p.with(1, uint32(0)).with(2, !p.flag(2)).with(9, nil).with(13, nil)
 	end := func(cond string) bool {
--- a/internal/spoken/amqp/endings_test.go
+++ b/internal/spoken/amqp/endings_test.go
@@ -241,6 +241,34 @@
 	}
 }
 
+// A server is told how long the relay still waits, not how long it would have had the connection come up at once: it works
+// on for a client that has its answer by then.
+func TestAServerIsToldWhatIsLeftOfTheWait(t *testing.T) {
+	each(t, func(t *testing.T, w wire) {
+		const giveUp, late = 4 * time.Second, 600 * time.Millisecond
+		f := fullListener(t)
+		r := newRig(t, w, 1, nil)
+		r.retune(func(s *balance.Settings) {
+			s.Connect, s.Classes[0].Deadline, s.MaxAttempts = time.Minute, time.Minute, 1
+		})
+		r.names = []string{f.Addr().String()}
+		r.list(balance.Ready, 0)
+		ctx, leave := context.WithCancel(context.Background())
+		defer leave()
+		began := r.core.Clock.Now()
+		waits := result(r, w, ctx, giveUp)
+		steps.Until(t, "the connection is late", func() bool { return r.core.Clock.Now()-began > late })
+		f.let(t, w, r.script)
+		steps.Until(t, "it is up", func() bool { return r.core.Counters.Up.Load() == 1 })
+		if r.script.mu.Lock(); r.script.waits <= 0 || r.script.waits > giveUp-late {
+			t.Errorf("the server is told to answer within %v", r.script.waits)
+		}
+		r.script.mu.Unlock()
+		leave()
+		await(t, "the client's end", waits)
+	})
+}
+
 // let takes in who waits, and serves from then on.
 func (f *full) let(t *testing.T, w wire, s *script) {
 	for range f.fill {
--- a/internal/spoken/amqp/server.go
+++ b/internal/spoken/amqp/server.go
@@ -294,7 +294,7 @@
 // ask returns what came of the attach at a server.
 func (l *link) ask(ctx context.Context, u *upstream, out core.Out) balance.Status {
 	props, _ := l.attach.field(13).(mapping)
-	p := l.attach.with(1, uint32(0)).with(13, props.with(propGiveUp, uint32(max(1, out.Wait.Milliseconds()))))
+	p := l.attach.with(1, uint32(0)).with(13, props.with(propGiveUp, uint32(max(1, out.Left(ctx).Milliseconds()))))
 	switch err := u.writeIf(func() bool { return out.May(ctx) }, p); {
 	case errors.Is(err, errMoot):
 		return balance.Moot
--- a/internal/spoken/line/client.go
+++ b/internal/spoken/line/client.go
@@ -14,7 +14,9 @@
 
 const (
 	writeFor = 5 * time.Second        // a client that takes nothing for this long is gone
-	moveFor  = 300 * time.Millisecond // the rest of a line may take this long before MOVE
+	moveFor  = 300 * time.Millisecond // the last line may take this long to be written
+	// The rest of a line may take this long before MOVE. At the relay's end the last is told to move 1.1 s before SIGKILL.
+	lineFor = 800 * time.Millisecond
 )
 
 const lineMove = "MOVE\r\n"
@@ -26,6 +28,7 @@
 	*net.TCPConn
 	r    *bufio.Reader
 	gone chan struct{} // closed once the client's own stream has ended
+	dry  chan struct{} // closed once nothing more comes from its server
 
 	mu     sync.Mutex
 	mid    bool          // a line is written in part
@@ -35,7 +38,7 @@
 }
 
 func newClient(conn *net.TCPConn) *client {
-	return &client{TCPConn: conn, r: bufio.NewReaderSize(conn, maxLine), gone: make(chan struct{})}
+	return &client{TCPConn: conn, r: bufio.NewReaderSize(conn, maxLine), gone: make(chan struct{}), dry: make(chan struct{})}
 }
 
 // write passes on bytes of a server. A client that is to move gets MOVE after
@@ -50,6 +53,7 @@
 		if i := bytes.IndexByte(b, '\n'); i >= 0 {
 			defer close(c.moving)
 			c.last = true
+			c.SetWriteDeadline(time.Now().Add(moveFor))
 			_, err := c.Write(append(b[:i+1:i+1], lineMove...))
 			return errors.Join(err, errLast)
 		}
@@ -87,7 +91,8 @@
 	select {
 	case <-moved:
 	case <-c.gone:
-	case <-time.After(moveFor): // half a line can't be ended politely
+	case <-c.dry: // half a line can't be ended politely
+	case <-time.After(lineFor):
 	}
 	return true
 }
--- a/internal/spoken/line/front.go
+++ b/internal/spoken/line/front.go
@@ -246,7 +246,7 @@
 	if !out.May(ctx) {
 		return balance.Moot
 	}
-	if _, err := s.Write(x.opening.with(out.Wait)); err != nil {
+	if _, err := s.Write(x.opening.with(out.Left(ctx))); err != nil {
 		return spoken.Unsent(ctx) // of a line that is not whole nothing runs
 	}
 	x.front.Core.Figures.Tries.Add(1)
@@ -284,6 +284,7 @@
 // server's ends, unless it was ended from here.
 func (x *exchange) downstream(ctx context.Context, s *server, pulse *core.Pulse) balance.Status {
 	defer x.down.stop(false)
+	defer close(x.client.dry)
 	how := balance.Reset
 	lines := &x.down.lines
 	last, resumed := false, false
--- a/internal/spoken/line/front_test.go
+++ b/internal/spoken/line/front_test.go
@@ -16,6 +16,7 @@
 	"lockroad/balance"
 	"lockroad/internal/core"
 	"lockroad/internal/spoken"
+	"lockroad/internal/steps"
 )
 
 // site is a front with one application server, whose end the test holds.
@@ -173,6 +174,22 @@
 	server.wantEnd(false)
 }
 
+// A line may come in pieces, with time between them.
+func TestMoveWaitsForTheRestOfALine(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 8)
+	client, server := s.open()
+	server.say("half a li")
+	client.want("half a li")
+	s.core.MoveAll(time.Millisecond)
+	began := s.core.Clock.Now()
+	steps.Until(t, "half a second is over", func() bool { return s.core.Clock.Now()-began > 500*time.Millisecond })
+	server.say("ne\r\n")
+	client.want("ne\r\nMOVE\r\n")
+	client.wantEnd(false)
+	server.wantEnd(false)
+}
+
 func TestOpeningsThatMakeNoSenseGetOneFailure(t *testing.T) {
 	s := newSite(t, 8)
 	for _, text := range []string{
