--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -222,14 +222,6 @@
 	c.moveAll()
 }
 
-// Spread is the time over which everyone moves.
-func (c *Core) Spread() time.Duration {
-	if m := c.moving.Load(); m != nil {
-		return m.over
-	}
-	return 0
-}
-
 // TurnAway answers every transaction that is not up, now or later. It guards
 // against those that are still waiting when the relay is killed.
 func (c *Core) TurnAway() { c.turnAll() }
--- a/internal/lifecycle/run_test.go
+++ b/internal/lifecycle/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -19,6 +20,8 @@
 	"testing"
 	"time"
 
+	"github.com/Azure/go-amqp"
+
 	"lockroad/internal/console"
 	"lockroad/internal/record"
 )
@@ -220,7 +223,13 @@
 // startOn is the same, with a server of the test's own.
 func startOn(t *testing.T, admin string, words Words, discovery, server net.Listener, o *Operator, log io.Writer) (address string, done <-chan error) {
 	t.Helper()
-	c, err := ParseConfig([]byte(configText("127.0.0.1:0", discovery.Addr().String(), server.Addr().String())))
+	return startFrom(t, configText("127.0.0.1:0", discovery.Addr().String(), server.Addr().String()), admin, words, o, log)
+}
+
+// startFrom is the same, with a configuration of the test's own.
+func startFrom(t *testing.T, config, admin string, words Words, o *Operator, log io.Writer) (address string, done <-chan error) {
+	t.Helper()
+	c, err := ParseConfig([]byte(config))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -261,6 +270,49 @@
 	}
 }
 
+// Where deadlines are short SIGKILL comes soon: a client of AMQP without a link is told that its connection is closed, and
+// one of lines that has said nothing to come again.
+func TestIdleClientsAreToldOfTheEndThoughItComesSoon(t *testing.T) {
+	drain := make(chan struct{})
+	config := strings.Replace(configText("127.0.0.1:0", listen(t).Addr().String(), listen(t).Addr().String()), `"DeadlineUs": 1500000`, `"DeadlineUs": 200000`, 1)
+	free := listen(t)
+	free.Close()
+	address, done := startFrom(t, config, "", Words{Leave: drain}, &Operator{AMQP: AMQP{Listen: free.Addr().String()}}, io.Discard)
+	idle, err := amqp.Dial(t.Context(), "amqp://"+free.Addr().String(), &amqp.ConnOptions{SASLType: amqp.SASLTypeAnonymous()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	rests, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer rests.Close()
+	rests.SetDeadline(time.Now().Add(10 * time.Second))
+	told := time.Now()
+	close(drain)
+	select {
+	case <-idle.Done():
+		var end *amqp.ConnError
+		if !errors.As(idle.Err(), &end) || end.RemoteErr == nil || end.RemoteErr.Condition != amqp.ErrCondConnectionForced {
+			t.Errorf("the client of AMQP sees %v", idle.Err())
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the client of AMQP is not told of the end")
+	}
+	if rest, err := io.ReadAll(rests); string(rest) != "BUSY\r\n" || err != nil {
+		t.Errorf("the client of lines was told %q, %v", rest, err)
+	}
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(time.Until(told.Add(900 * time.Millisecond))): // the class's 0.2 s and 0.7
+		t.Error("the relay is still there when SIGKILL comes")
+	}
+}
+
 // A relay that leaves while its servers hang: who is at one of them, who comes after the word to leave, and who is in the
 // middle of an opening all get one answer, and the relay ends in time.
 func TestEveryoneIsAnsweredThoughServersHang(t *testing.T) {
--- a/internal/spoken/amqp/front.go
+++ b/internal/spoken/amqp/front.go
@@ -21,7 +21,7 @@
 
 const (
 	helloWait = spoken.OpeningWait     // a client may take this long to open, all in all
-	leaveWait = 600 * time.Millisecond // links still come for this long after the word to leave
+	leaveWait = 200 * time.Millisecond // a connection whose links are moved or answered has this long once the relay ends
 	byeWait   = time.Second            // a peer may take this long to answer a close
 )
 
@@ -238,17 +238,17 @@
 	return c.sasl(perf{codeOutcome, list{uint8(0)}})
 }
 
-// leave closes the connection once everyone is to move and its links have been.
+// leave closes the connection once its links have been moved, or answered: links still come until then.
 func (c *client) leave() {
 	select {
 	case <-c.stop:
 		return
-	case <-c.front.Core.Leaving():
+	case <-c.front.Core.Closing().Done():
 	}
 	select {
 	case <-c.stop:
 		return
-	case <-time.After(c.front.Core.Spread() + leaveWait):
+	case <-time.After(leaveWait):
 	}
 	c.write(0, perf{codeClose, list{errorOf(condForced, "the relay is leaving", nil)}}, nil)
 	c.CloseWrite()
