--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -99,6 +99,10 @@
 		f.add("settings", "%v", err)
 		return nil
 	}
+	if us := names.Limits.MaxRetryAfterUs; us < 0 || us > 1e15 {
+		f.add("settings.Limits.MaxRetryAfterUs", "is a time of %v microseconds, which is out of range", us)
+		return nil
+	}
 	// On sockets an unavailable answer always has room for when to come back.
 	set.MaxRetryAfter = time.Duration(names.Limits.MaxRetryAfterUs) * time.Microsecond
 	c := &Config{
--- a/internal/lifecycle/run_test.go
+++ b/internal/lifecycle/run_test.go
@@ -134,6 +134,9 @@
 			t.Errorf("got %q, want %q (%d)", got, w, i)
 		}
 	}
+	if got := check(strings.Replace(good, `"MaxRetryAfterUs": 2000000`, `"MaxRetryAfterUs": -2000000`, 1)); got != "FILE:8: settings.Limits.MaxRetryAfterUs: is a time of -2e+06 microseconds, which is out of range" {
+		t.Errorf("a time that is none: %s", got)
+	}
 	if got := check(good[:200]); !strings.HasPrefix(got, "FILE:") || !strings.Contains(got, "unexpected end") {
 		t.Errorf("half a file: %s", got)
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -138,6 +138,9 @@
 		s.AskEvery = over(r, rules, "Guarantees.", "AskEveryUs")
 	}
 	s.TellsLoad, s.TellsDelay = tells(r, facts, "TellsLoad"), tells(r, facts, "TellsDelay")
+	if s.CrossZoneCost < 0 {
+		r.failf("Costs.CrossZone", "is %v, which is no price", s.CrossZoneCost)
+	}
 	if s.MaxAttempts < 1 {
 		r.failf("Limits.TryLimit", "is not over 0")
 	}
@@ -203,6 +206,10 @@
 			class.Memory = over(r, c, path, "MemorySpanUs")
 		}
 		if i < len(messageAims) {
+			if aim := messageAims[i]; !(aim >= 0 && aim <= 1e15) {
+				r.failf(fmt.Sprintf("Specifics.MessageAimUs[%d]", i), "is a time of %v microseconds, which is out of range", aim)
+				continue
+			}
 			class.MessageAim = time.Duration(messageAims[i]) * time.Microsecond
 		}
 		list = append(list, class)
--- a/internal/wire/settings_test.go
+++ b/internal/wire/settings_test.go
@@ -140,6 +140,8 @@
 		{`"Share": 0.53`, `"Share": -0.53`, "settings: Customers[0].Share is -0.53, which is no part of the whole"},
 		{`"Name": "y"`, `"Name": "x"`, `settings: Customers[1].Name "x" is the name of another tenant too`},
 		{`"Name": "y"`, `"Name": ""`, "settings: Customers[1].Name is empty"},
+		{`"CrossZone": 0.06`, `"CrossZone": -0.06`, "settings: Costs.CrossZone is -0.06, which is no price"},
+		{`100000.0, 50000.0`, `100000.0, -50000.0`, "settings: Specifics.MessageAimUs[1] is a time of -50000 microseconds, which is out of range"},
 	} {
 		text := strings.Replace(sample, c[0], c[1], 1)
 		if _, err := ParseSettings([]byte(text)); err == nil || err.Error() != c[2] {
