--- a/cmd/lockroad/commands.go
+++ b/cmd/lockroad/commands.go
@@ -102,9 +102,6 @@
 	if c.Config == "" && c.Site == "" {
 		return errors.New("PROXY_CONFIG names no configuration, and neither does --config")
 	}
-	// SIGHUP says that the file has been replaced. Its default ends the program.
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	var config *lifecycle.Config
 	file := c.Config
 	if site != nil {
@@ -129,7 +126,7 @@
 		close(leave)
 	}()
 	words := lifecycle.Words{
-		Leave: leave, Reload: reload, File: file, Site: site, Log: log.Tail,
+		Leave: leave, Reload: hangups, File: file, Site: site, Log: log.Tail,
 		Supervised: os.Getenv("INVOCATION_ID") != "" || os.Getenv("LOCKROAD_SUPERVISED") != "",
 	}
 	return lifecycle.Run(context.Background(), words, config, o, log.Logger)
--- a/cmd/lockroad/main.go
+++ b/cmd/lockroad/main.go
@@ -8,8 +8,10 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"strings"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 	kongcompletion "github.com/jotaen/kong-completion"
@@ -54,7 +56,12 @@
 
 func (e exit) Error() string { return fmt.Sprintf("exit code %d", int(e)) }
 
+// hangups gets SIGHUP, which says that the configuration has been replaced, from the first moment on: its default would end
+// a relay that has just been started.
+var hangups = make(chan os.Signal, 1)
+
 func main() {
+	signal.Notify(hangups, syscall.SIGHUP)
 	os.Exit(call(os.Args[1:], streams{os.Stdin, os.Stdout, os.Stderr}))
 }
 
@@ -87,6 +94,9 @@
 		fmt.Fprintf(s.errs, "lockroad: %v\ntry lockroad --help\n", err)
 		return exitUsage
 	}
+	if word, _, _ := strings.Cut(parsed.Command(), " "); word != "run" {
+		signal.Reset(syscall.SIGHUP) // it ends with its terminal
+	}
 	if err := parsed.Run(); err != nil {
 		var told exit
 		if errors.As(err, &told) {
--- a/cmd/lockroad/main_test.go
+++ b/cmd/lockroad/main_test.go
@@ -116,6 +116,12 @@
 // SIGHUP ended the program by Go's default. It has to take up the configuration
 // anew, and SIGTERM still has to end it in good order.
 func TestProgramOutlivesSIGHUP(t *testing.T) {
+	t.Run("while it runs", func(t *testing.T) { outlivesSIGHUP(t, false) })
+	t.Run("as it starts", func(t *testing.T) { outlivesSIGHUP(t, true) })
+}
+
+// outlivesSIGHUP sends it to a program that runs, or while it reads the first of its files.
+func outlivesSIGHUP(t *testing.T, early bool) {
 	file := filepath.Join(t.TempDir(), "config.json")
 	write := func(discovery net.Listener) {
 		text, err := json.Marshal(map[string]any{
@@ -137,12 +143,27 @@
 	write(first)
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), "LOCKROAD_TEST_PROGRAM=1", "PROXY_CONFIG="+file)
+	operator := filepath.Join(t.TempDir(), "operator.toml")
+	if early {
+		if err := syscall.Mkfifo(operator, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd.Env = append(cmd.Env, "LOCKROAD_OPERATOR="+operator)
+	}
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- cmd.Wait() }()
 	t.Cleanup(func() { cmd.Process.Kill() })
+	if early {
+		reads, err := os.OpenFile(operator, os.O_WRONLY, 0) // once the program has it open
+		if err != nil {
+			t.Fatal(err)
+		}
+		cmd.Process.Signal(syscall.SIGHUP)
+		reads.Close()
+	}
 	asked(t, first)
 	write(second)
 	cmd.Process.Signal(syscall.SIGHUP)
--- a/internal/spoken/discovery/discovery.go
+++ b/internal/spoken/discovery/discovery.go
@@ -108,6 +108,9 @@
 func (w *Watcher) Follow(address string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if address == w.Address && w.next == "" {
+		return // a watch that is sound there goes on
+	}
 	w.next = address
 	if w.cancel != nil {
 		w.cancel()
--- a/internal/spoken/discovery/discovery_test.go
+++ b/internal/spoken/discovery/discovery_test.go
@@ -484,3 +484,18 @@
 		t.Errorf("localities that nobody named are %d and %d, then %d and %d", c, d, w.Zone("c"), w.Zone("b"))
 	}
 }
+
+// A configuration that leaves discovery where it is leaves the watch alone.
+func TestASoundWatchGoesOnWhereItIsNotMoved(t *testing.T) {
+	agent := newScripted(t)
+	k, w := watching(t, agent.address, false)
+	h, _ := agent.next("0")
+	h.answer(list(7, true, member("s-1", "ready")))
+	steps.Until(t, "the list is there", func() bool { return farmOf(k) == "s-1=ready" })
+	w.Follow(agent.address)
+	io.WriteString(h, chunk(list(8, false, member("s-1", "draining"))))
+	steps.Until(t, "the watch still tells", func() bool { return farmOf(k) == "s-1=draining" })
+	if n := len(agent.watches); n != 0 {
+		t.Errorf("%d more watches were opened", n)
+	}
+}
