--- a/cmd/lockroad/commands.go
+++ b/cmd/lockroad/commands.go
@@ -283,7 +283,7 @@
 func (*whyCommand) Help() string {
 	return `Examples:
   lockroad why 9b1f03aa5c7e2d41
-  lockroad why --where '(and (class "live-preview") (answer "unavailable") (since 5m))'
+  lockroad why --where '(and (class "live") (answer "unavailable") (since 5m))'
   lockroad why --by server,reason --where '(since 10m)'
 
 A query is one of:
--- a/cmd/lockroad/site_test.go
+++ b/cmd/lockroad/site_test.go
@@ -18,8 +18,8 @@
 )
 
 var siteClasses = []standin.Class{
-	{Name: "page-render", Share: 0.7, GiveUp: 4800 * time.Millisecond, Life: 500 * time.Millisecond},
-	{Name: "live-preview", Share: 0.3, GiveUp: 2 * time.Second, Life: time.Second},
+	{Name: "page", Share: 0.7, GiveUp: 4800 * time.Millisecond, Life: 500 * time.Millisecond},
+	{Name: "live", Share: 0.3, GiveUp: 2 * time.Second, Life: time.Second},
 }
 
 // From nothing to a client that is served by two commands; then a server dies and comes back, the file is reloaded with another
@@ -95,7 +95,7 @@
 	if says(t, socket, "farm"); s.passesAt("s-2", back) == 0 {
 		t.Error("a dry run took the server out")
 	}
-	os.WriteFile(file, []byte(without+"\n[[class]]\nname = \"page-render\"\n"), 0o600)
+	os.WriteFile(file, []byte(without+"\n[[class]]\nname = \"page\"\n"), 0o600)
 	says(t, socket, "reload", file, "is the name of another class too")
 	os.WriteFile(file, []byte(without), 0o600)
 	cmd.Process.Signal(syscall.SIGHUP)
@@ -175,7 +175,7 @@
 		}()
 		steps.Until(t, "no start", func() bool { return pongs(s.listen) })
 		flood := &standin.Crowd{Ledger: s.site.Ledger, Line: s.listen, From: "127.0.0.9", Classes: siteClasses[:1], Rate: 300, Groups: 9, Talk: 100 * time.Millisecond, Most: 200, Seed: 1}
-		flood.Classes = []standin.Class{{Name: "page-render", Share: 1, GiveUp: time.Second, Life: 30 * time.Second}}
+		flood.Classes = []standin.Class{{Name: "page", Share: 1, GiveUp: time.Second, Life: 30 * time.Second}}
 		flood.Begin()
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/internal/lifecycle/site.go
+++ b/internal/lifecycle/site.go
@@ -328,13 +328,13 @@
 	b.WriteString(`
 # What clients ask for by name. Those that are turned away first are worth least.
 [[class]]
-name = "page-render"
+name = "page"
 set_up_within = "800ms"
 give_up_after = "4800ms"
 message_within = "100ms"
 
 [[class]]
-name = "live-preview"
+name = "live"
 set_up_within = "500ms"
 give_up_after = "2s"
 message_within = "60ms"
