--- a/balance/balance.go
+++ b/balance/balance.go
@@ -686,7 +686,7 @@
 	switch {
 	case s == nil && line.State == Gone:
 	case s == nil:
-		b.fleet.insert(&server{Server: line, weight: weightStart, weighed: b.now})
+		b.fleet.insert(&server{Server: line, weight: weightStart, weighed: b.now}, b.now)
 	default:
 		if line.Born > s.Born {
 			s.weight, s.weighed, s.lastSlow, s.awayAt = weightStart, b.now, 0, 0
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -605,3 +605,16 @@
 	q.tries = append(q.tries, x)
 	p.tries = append(p.tries, x)
 }
+
+// Servers come and go by changes alone, for as long as the relay runs: those that are gone make room.
+func TestServersThatAreGoneAreForgotten(t *testing.T) {
+	b := New(testSettings(), 1)
+	now := time.Duration(0)
+	for id := ServerID(1); id < 3000; id++ {
+		now += time.Second
+		b.Handle(now, ServerList{Kind: ListDelta, Servers: []Server{{ID: id, State: Ready, Weight: 1}, {ID: id - 1, State: Gone}}})
+	}
+	if n := len(b.fleet.servers); n > 3 {
+		t.Errorf("%d servers are kept, of which one is there", n)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -318,8 +318,16 @@
 	})
 }
 
-func (f *fleet) insert(s *server) {
+// goneLife is how long a server that is gone is kept after anything was last sent to it.
+const goneLife = time.Minute
+
+// insert adds a server. Those that are long gone make room: changes alone may come for as long as the relay runs, and only a
+// whole list drops what it leaves out.
+func (f *fleet) insert(s *server, now time.Duration) {
 	f.sure = false
+	f.servers = slices.DeleteFunc(f.servers, func(s *server) bool {
+		return s.State == Gone && len(s.conns) == 0 && now > max(s.lastSent, s.stoodAt, s.failedAt)+goneLife
+	})
 	s.groups = make(map[uint64]int)
 	i, _ := f.search(s.ID)
 	f.servers = slices.Insert(f.servers, i, s)
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -26,7 +26,9 @@
 		c.listing.lines = make(map[balance.ServerID]balance.Server)
 	}
 	for _, s := range servers {
-		c.listing.lines[s.ID] = s
+		if c.listing.lines[s.ID] = s; s.State == balance.Gone {
+			delete(c.listing.lines, s.ID) // there may never be a whole list to drop it
+		}
 	}
 	c.tell(kind, servers, addresses)
 }
@@ -77,8 +79,8 @@
 // isListed tells whether the list names a server that is not gone.
 func (c *Core) isListed(server string) bool {
 	id, ok := c.Farm.Lookup(server)
-	line, named := c.listing.lines[id]
-	return ok && named && line.State != balance.Gone
+	_, named := c.listing.lines[id]
+	return ok && named
 }
 
 // Ordered tells whether an operator has a server drain.
