--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -18,6 +18,7 @@
 // Times are on the clock that the two have in common.
 type Standing struct {
 	Front, Name, Class string
+	Tenant             string // "" if the settings name none, or from a process that does not tell it
 	Server             string
 	Item, Group        uint64
 	Load               float64 // that its server told last, or that was expected
@@ -101,7 +102,7 @@
 	text, err := json.Marshal(wire)
 	pulse.mu.Lock()
 	s := &Standing{
-		Front: t.ask.Front, Name: t.ask.Name, Class: t.ask.Class, Server: to.Name, Item: t.ask.Item, Group: t.ask.Group,
+		Front: t.ask.Front, Name: t.ask.Name, Class: t.ask.Class, Tenant: t.ask.Tenant, Server: to.Name, Item: t.ask.Item, Group: t.ask.Group,
 		Load: pulse.told, Return: t.ask.Return, Asked: pulse.asked, Wire: text,
 	}
 	pulse.mu.Unlock()
--- a/internal/spoken/line/carry.go
+++ b/internal/spoken/line/carry.go
@@ -168,7 +168,7 @@
 	x.adopted = true
 	x.up, x.down = newLane(was.Up.splitter()), newLane(was.Down.splitter())
 	terms := f.Core.Terms()
-	ask := core.Ask{Front: "line", Name: s.Name, Class: s.Class, Ask: balance.Ask{
+	ask := core.Ask{Front: "line", Name: s.Name, Class: s.Class, Tenant: s.Tenant, Ask: balance.Ask{
 		Under: terms, Class: terms.Named(s.Class), Item: s.Item, Group: s.Group, Load: s.Load, Return: s.Return,
 	}}
 	id, _ := f.Core.Farm.Lookup(s.Server)
--- a/internal/spoken/line/carry_test.go
+++ b/internal/spoken/line/carry_test.go
@@ -12,14 +12,15 @@
 
 	"golang.org/x/sys/unix"
 
+	"lockroad/balance"
 	"lockroad/internal/core"
 	"lockroad/internal/steps"
 )
 
 // heir is another process's front for what a site hands over: the same sockets by
 // descriptors of its own, as a Unix socket would bring them.
-func (s *site) heir() (*site, core.Give) {
-	to := newSite(s.t, 8)
+func (s *site) heir(observers ...core.Observer) (*site, core.Give) {
+	to := newSite(s.t, 8, observers...)
 	return to, func(what any, sockets ...syscall.Conn) error {
 		var copies []net.Conn
 		for _, c := range sockets {
@@ -80,6 +81,43 @@
 	}
 }
 
+// asks tells what each transaction that begins has asked for.
+type asks chan core.Ask
+
+func (a asks) Began(_ uint64, ask core.Ask) core.Trace { a <- ask; return mute{} }
+
+// mute is a trace that nobody reads.
+type mute struct{}
+
+func (mute) Decided(*balance.Decision)                  {}
+func (mute) Pass(balance.ServerID) func(balance.Status) { return func(balance.Status) {} }
+func (mute) Up()                                        {}
+func (mute) Ended(core.Final)                           {}
+
+// A transaction stays its tenant's: the new process's records, logs and spans tell it as the old one's did.
+func TestATenantIsHandedOver(t *testing.T) {
+	s := newSite(t, 8)
+	client := s.client()
+	client.say("OPEN 9b1f03aa5c7e2d41 2 c=page,t=cedar,d=4000\r\n")
+	server := s.peer(s.server.Accept())
+	server.say("UP x\r\n")
+	client.want("UP x\r\n")
+	seen := make(asks, 1)
+	to, give := s.heir(seen)
+	s.core.GiveAll(give, time.Millisecond)
+	select {
+	case ask := <-seen:
+		if ask.Tenant != "cedar" || ask.Class != "page" {
+			t.Errorf("it goes on as %q's, of class %q", ask.Tenant, ask.Class)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("it is not handed over")
+	}
+	client.Close()
+	server.Close()
+	steps.Until(t, "it has not ended", func() bool { return to.core.Transactions.Len() == 0 })
+}
+
 // Ends are passed on alike after it, and so is what comes in one piece with them.
 func TestEndsAfterHandingOver(t *testing.T) {
 	s := newSite(t, 8)
--- a/internal/spoken/line/front_test.go
+++ b/internal/spoken/line/front_test.go
@@ -28,13 +28,16 @@
 	server  net.Listener
 }
 
-func newSite(t *testing.T, most int) *site {
+func newSite(t *testing.T, most int, observers ...core.Observer) *site {
 	t.Helper()
 	k := core.New(balance.Settings{
 		Classes: []balance.Class{{Name: "page", Aim: time.Second, Deadline: 5 * time.Second, MessageAim: 60 * time.Millisecond}},
 		Relays:  1, MaxAttempts: 3, Connect: time.Second, MaxRetryAfter: 2 * time.Second,
 		ColdShare: 0.2, ColdFor: 20 * time.Second, TipMultiple: 3, TipAfter: 3 * time.Second,
 	}, 1, core.NewClock())
+	for _, o := range observers {
+		k.Observe(o)
+	}
 	s := &site{t: t, core: k, front: &Front{Core: k, Hall: &spoken.Hall{Seats: most, Waiting: 4}}}
 	var doors [2]net.Listener
 	for i := range doors {
