--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,11 +46,12 @@
 	// sides say until the end of either. It returns how that end came about.
 	Join(ctx context.Context, link Link, pulse *Pulse) balance.Status
 	// Bad, Unavailable, Failed and Move end the transaction at the client. Bad
-	// says that what it asks for makes no sense.
+	// says that what it asks for makes no sense. Move tells whether the client was
+	// told to: its server may just have said the last word itself.
 	Bad(why string)
 	Unavailable(comeBack time.Duration)
 	Failed()
-	Move()
+	Move() bool
 }
 
 // Out is a pass that is to go out.
@@ -356,6 +357,9 @@
 	ended   chan struct{}
 	cause   error          // why it was ended here, once ended is closed
 	how     balance.Status // and how it ended
+
+	left chan struct{} // closed once its turn to leave is over, or will not come; nil if it never stood
+	told bool          // its client was told to move as the relay leaves, once left is closed
 }
 
 // stop ends the pass and waits until its connection is closed.
@@ -367,12 +371,13 @@
 }
 
 // move sends the client away, while lines still pass so that the one under way
-// can end. It guards against a move that overtakes the word that the client is up.
-func (p *pass) move(x Exchange) {
+// can end. It guards against a move that overtakes the word that the client is up. It tells whether the client was told.
+func (p *pass) move(x Exchange) bool {
 	select {
 	case <-p.up:
-		x.Move()
+		return x.Move()
 	case <-p.ended:
+		return false
 	}
 }
 
@@ -428,13 +433,16 @@
 			return Final{End: memory.Moved, How: balance.Cancelled}
 		case balance.StepOver:
 			<-t.pass.ended
-			switch t.pass.cause {
-			case errSilent:
+			if t.pass.left != nil { // its server's end may cross with its turn to leave: what counts is what its client was told
+				<-t.pass.left
+			}
+			switch {
+			case t.pass.cause == errSilent:
 				t.x.Move()
 				return Final{End: memory.Silent, Cause: NoEcho, How: t.pass.how}
-			case errLeave:
+			case t.pass.told:
 				return Final{End: memory.Moved, Cause: RelayLeaves, How: t.pass.how}
-			case errHanded:
+			case t.pass.cause == errHanded:
 				return Final{End: memory.HandedOver, Cause: RelayLeaves, How: t.pass.how}
 			}
 			return Final{End: memory.Ended, How: t.pass.how}
@@ -573,7 +581,9 @@
 	})
 	defer c.pulses.remove(pulse)
 	over, settled := make(chan struct{}), make(chan struct{})
+	p.left = make(chan struct{})
 	stop := context.AfterFunc(c.leaving, func() {
+		defer close(p.left)
 		// Its turn comes first: once it is parked nothing passes on, and what can't be handed over is moved
 		// right away. With the turn after that a side's end was passed on up to 1.6 s late.
 		c.turn(ctx, over, t.number)
@@ -588,11 +598,13 @@
 			p.cancel(errHanded)
 			return
 		}
-		p.move(t.x)
+		p.told = p.move(t.x)
 		p.cancel(errLeave)
 	})
 	defer func() {
-		if close(over); !stop() {
+		if close(over); stop() {
+			close(p.left)
+		} else {
 			<-settled // nothing of it is closed while it may be on its way to another process
 		}
 	}()
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -144,7 +144,46 @@
 func (x *fake) Bad(string)                { x.answer("bad") }
 func (x *fake) Unavailable(time.Duration) { x.answer("unavailable") }
 func (x *fake) Failed()                   { x.answer("failed") }
-func (x *fake) Move()                     { x.answer("move") }
+func (x *fake) Move() bool                { x.answer("move"); return true }
+
+// crossing is a front's side whose server says the last word just as its client is told to move.
+type crossing struct {
+	fake
+	bye chan struct{} // closed as the client is told
+}
+
+func (x *crossing) Join(_ context.Context, _ Link, pulse *Pulse) balance.Status {
+	pulse.Up()
+	<-x.bye
+	return balance.OK
+}
+
+func (x *crossing) Move() bool {
+	close(x.bye)
+	time.Sleep(ms) // of the fake clock: the pass has ended by then
+	return x.fake.Move()
+}
+
+// What counts is what the client was told: a server's end that crosses with its turn to move does not make it one that its server
+// has ended.
+func TestAnEndThatCrossesWithTheMoveIsAMove(t *testing.T) {
+	bench(t, 1, func(k *Core, _ func(int, balance.State)) {
+		x := &crossing{fake{t: t, k: k, acts: always(act{how: balance.OK})}, make(chan struct{})}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			k.Serve(context.Background(), Ask{Front: "fake", Ask: balance.Ask{GiveUp: k.Clock.Now() + time.Second}}, x)
+		}()
+		synctest.Wait()
+		k.MoveAll(ms)
+		<-ended
+		for _, e := range k.Counters.Ends() {
+			if want := map[string]int64{"moved": 1}[e.Name]; e.Count != want {
+				t.Errorf("%s: %d", e.Name, e.Count)
+			}
+		}
+	})
+}
 
 // ask runs a transaction and returns once it is over.
 func (x *fake) ask(ctx context.Context, wait time.Duration) {
--- a/internal/spoken/amqp/link.go
+++ b/internal/spoken/amqp/link.go
@@ -325,12 +325,12 @@
 // finish answers a client that has detached while its link was open.
 func (l *link) finish() { l.detach("", "", nil) }
 
-// detach tells the client of the end, once. It needs no credit.
-func (l *link) detach(cond, why string, info mapping) {
+// detach tells the client of the end, once: it tells whether this was the first. It needs no credit.
+func (l *link) detach(cond, why string, info mapping) bool {
 	l.mu.Lock()
 	if l.detached {
 		l.mu.Unlock()
-		return
+		return false
 	}
 	l.detached = true
 	answered := l.attached
@@ -344,10 +344,11 @@
 			p = p.with(5, nil).with(9, uint32(0))
 		}
 		if s.write(s.channel, p, nil) != nil {
-			return
+			return true
 		}
 	}
 	s.write(s.channel, perf{codeDetach, list{l.handle, true, errorOf(cond, why, info)}}, nil)
+	return true
 }
 
 // Bad answers what makes no sense.
@@ -371,10 +372,10 @@
 
 // Move sends the client away politely: between two deliveries, if the one that
 // is under way ends in time.
-func (l *link) Move() {
+func (l *link) Move() bool {
 	select {
 	case <-l.ids.whole():
 	case <-time.After(moveFor):
 	}
-	l.detach(condDetachForced, "the client is to come again", nil)
+	return l.detach(condDetachForced, "the client is to come again", nil)
 }
--- a/internal/spoken/line/front.go
+++ b/internal/spoken/line/front.go
@@ -400,4 +400,4 @@
 func (x *exchange) Failed() { x.client.end("ERR\r\n") }
 
 // Move sends the client away politely.
-func (x *exchange) Move() { x.client.end(lineMove) }
+func (x *exchange) Move() bool { return x.client.end(lineMove) }
--- a/internal/spoken/otlp/otlp_test.go
+++ b/internal/spoken/otlp/otlp_test.go
@@ -26,7 +26,7 @@
 func (exchange) Bad(string)                                                  {}
 func (exchange) Unavailable(time.Duration)                                   {}
 func (exchange) Failed()                                                     {}
-func (exchange) Move()                                                       {}
+func (exchange) Move() bool                                                  { return true }
 
 // serve runs a core and has it see a transaction through.
 func serve(t *testing.T, endpoint string) *Telemetry {
--- a/internal/why/core_test.go
+++ b/internal/why/core_test.go
@@ -57,7 +57,7 @@
 func (*scripted) Bad(string)                {}
 func (*scripted) Unavailable(time.Duration) {}
 func (*scripted) Failed()                   {}
-func (*scripted) Move()                     {}
+func (*scripted) Move() bool                { return true }
 
 // The whole way: the module's own decisions on a transaction that three servers fail,
 // the third refusing, and the next of its group; then a server that drains.
