--- a/internal/spoken/amqp/endings_test.go
+++ b/internal/spoken/amqp/endings_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"slices"
@@ -412,3 +413,31 @@
 		})
 	}
 }
+
+// A client without links that is shown out as it speaks is told so: closing over what has come would reset its connection.
+func TestWhoIsShownOutAsItSpeaksIsTold(t *testing.T) {
+	l := listen(t)
+	defer l.Close()
+	there, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer there.Close()
+	here, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer, tcp := newConn(there.(*net.TCPConn)), here.(*net.TCPConn)
+	if err := peer.write(0, perf{codeBegin, list{nil, uint32(0), uint32(100), uint32(100)}}, nil); err != nil {
+		t.Fatal(err)
+	}
+	steps.Unread(t, tcp, headSize)
+	(&client{conn: newConn(tcp), tcp: tcp}).showOut()
+	f, err := peer.read(frameAMQP, serverWait)
+	if cond, _ := f.condition(0); err != nil || f.code != codeClose || cond != condLimit {
+		t.Errorf("it is told %#x, %q, %v", f.code, cond, err)
+	}
+	if _, err := peer.read(frameAMQP, serverWait); !errors.Is(err, io.EOF) {
+		t.Errorf("its connection ends with %v", err)
+	}
+}
--- a/internal/spoken/amqp/front.go
+++ b/internal/spoken/amqp/front.go
@@ -134,6 +134,7 @@
 		c.Write(c.buf)
 		c.mu.Unlock()
 	}
+	spoken.Discard(c.tcp)
 	c.tcp.Close()
 }
 
--- a/internal/spoken/line/front.go
+++ b/internal/spoken/line/front.go
@@ -43,6 +43,7 @@
 func showOut(c *net.TCPConn) {
 	c.SetWriteDeadline(time.Now().Add(time.Millisecond))
 	io.WriteString(c, "BUSY\r\n")
+	spoken.Discard(c)
 	c.Close()
 }
 
--- a/internal/spoken/line/front_test.go
+++ b/internal/spoken/line/front_test.go
@@ -230,6 +230,19 @@
 	client.want("UP x\r\n")
 }
 
+// A client that is shown out as its opening comes is told so: closing over what has come would reset its connection.
+func TestWhoIsShownOutAsItSpeaksIsTold(t *testing.T) {
+	s := newSite(t, 8)
+	client := s.peer(net.Dial("tcp", s.server.Addr().String()))
+	door := s.peer(s.server.Accept()) // nobody reads there
+	opening := fmt.Sprintf(first, 4000)
+	client.say(opening)
+	steps.Unread(t, door.TCPConn, len(opening))
+	showOut(door.TCPConn)
+	client.want("BUSY\r\n")
+	client.wantEnd(false)
+}
+
 func TestPingIsAnswered(t *testing.T) {
 	client := newSite(t, 8).client()
 	client.say("PING\r\nPING\r\n")
--- a/internal/spoken/spoken.go
+++ b/internal/spoken/spoken.go
@@ -4,10 +4,34 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"syscall"
 
 	"lockroad/balance"
 )
 
+// Discard takes what has come on a connection and was not read, without waiting for more. It guards against a close over
+// it, which would reset the connection, and lose the answer that was written last.
+func Discard(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	raw.Control(func(fd uintptr) { // no read: another goroutine may be within one
+		var b [4 << 10]byte
+		for taken := 0; taken < LingerBytes; {
+			n, err := syscall.Read(int(fd), b[:])
+			if err == syscall.EINTR {
+				continue
+			}
+			if err != nil || n <= 0 {
+				return
+			}
+			taken += n
+		}
+	})
+}
+
 // Unsent is the outcome of a pass whose connection did not come up, or that was ended from here
 // before anything of it was sent: whatever its server does, it has not run.
 func Unsent(ctx context.Context) balance.Status {
--- a/internal/steps/steps.go
+++ b/internal/steps/steps.go
@@ -3,8 +3,11 @@
 package steps
 
 import (
+	"net"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Source yields choices until its bytes are used up; from then on it yields 0.
@@ -45,3 +48,19 @@
 		}
 	}
 }
+
+// Unread waits until so many bytes have come on a connection that nobody reads.
+func Unread(t testing.TB, c *net.TCPConn, want int) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	Until(t, "what was sent has not come", func() (there bool) {
+		raw.Control(func(fd uintptr) {
+			n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+			there = err == nil && n >= want
+		})
+		return there
+	})
+}
