--- a/internal/spoken/amqp/endings_test.go
+++ b/internal/spoken/amqp/endings_test.go
@@ -16,6 +16,7 @@
 
 	"lockroad/balance"
 	"lockroad/internal/pool"
+	"lockroad/internal/spoken"
 	"lockroad/internal/steps"
 )
 
@@ -414,6 +415,29 @@
 	}
 }
 
+// A client whose connection is ended for what it says has its links let go first, not once it has read why: what waits for a
+// server must not go there meanwhile.
+func TestAFaultyClientsLinksAreLetGoAtOnce(t *testing.T) {
+	f := fullListener(t)
+	r := newRig(t, wires[1], 1, nil)
+	r.retune(func(s *balance.Settings) { s.Connect, s.Classes[0].Deadline = time.Minute, time.Minute })
+	r.names = []string{f.Addr().String()}
+	r.list(balance.Ready, 0)
+	c := dialRaw(t, r.address).begin()
+	c.attach(1, mapping{symbol(propClass), "page", symbol(propGiveUp), uint32(60000)})
+	steps.Until(t, "its pass goes out", func() bool {
+		all := r.core.Transactions.List()
+		return len(all) == 1 && all[0].Passes == 1
+	})
+	c.write(5, perf{codeAttach, list{"a link", uint32(1), false}}, nil) // on a channel without a session
+	c.want(codeClose, 0, condFraming)
+	told := time.Now() // and it stays: a client that lingers is waited for
+	steps.Until(t, "its link is let go", func() bool { return r.core.Transactions.Len() == 0 })
+	if took := time.Since(told); took > spoken.LingerFor/2 {
+		t.Errorf("its link is let go %v after its connection's end", took)
+	}
+}
+
 // A client without links that is shown out as it speaks is told so: closing over what has come would reset its connection.
 func TestWhoIsShownOutAsItSpeaksIsTold(t *testing.T) {
 	l := listen(t)
--- a/internal/spoken/amqp/front.go
+++ b/internal/spoken/amqp/front.go
@@ -83,11 +83,11 @@
 	if bad := (fault{}); errors.As(err, &bad) {
 		f.Core.Misspoke("amqp", bad.text)
 		c.write(0, perf{codeClose, list{errorOf(bad.cond, bad.text, nil)}}, nil)
-		c.linger()
 	}
-	for _, s := range c.sessions {
+	for _, s := range c.sessions { // ahead of all else: nothing of them is to go to a server any more
 		s.lost()
 	}
+	c.linger()
 	c.links.Wait()
 	close(c.stop)
 	closed()
@@ -115,8 +115,8 @@
 	return nil
 }
 
-// linger lets the client read a close before the connection ends: closing with
-// words of the client unread would reset it.
+// linger lets the client read the last that it was told before the connection ends: closing with
+// words of the client unread would reset it. One that has left is not waited for.
 func (c *client) linger() {
 	c.CloseWrite()
 	c.SetReadDeadline(time.Now().Add(spoken.LingerFor))
--- a/internal/spoken/amqp/passing_test.go
+++ b/internal/spoken/amqp/passing_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -302,9 +303,10 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	io.WriteString(c, "GET / HTTP/1.1\r\n\r\n")
+	// More than the relay reads of it at once: a close over the rest would be a reset.
+	io.WriteString(c, "GET / HTTP/1.1\r\n"+strings.Repeat("Accept: all that there is\r\n", 1000)+"\r\n")
 	c.SetReadDeadline(time.Now().Add(3 * time.Second))
-	if got, _ := io.ReadAll(c); string(got) != string(headerAMQP[:]) {
-		t.Errorf("the front answers %q", got)
+	if got, err := io.ReadAll(c); string(got) != string(headerAMQP[:]) || err != nil {
+		t.Errorf("the front answers %q, %v", got, err)
 	}
 }
