--- a/internal/spoken/amqp/frame.go
+++ b/internal/spoken/amqp/frame.go
@@ -2,12 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
 	"net"
-	"sync"
 	"time"
 )
 
@@ -202,7 +202,7 @@
 	r     *bufio.Reader
 	until time.Time // by when all that is read has to be there; none if zero
 
-	mu   sync.Mutex
+	mu   turn
 	most int // the peer's largest frame
 	buf  []byte
 	sent time.Time
@@ -210,7 +210,32 @@
 }
 
 func newConn(c socket) *conn {
-	return &conn{socket: c, r: bufio.NewReaderSize(c, 4<<10), most: leastMost}
+	return &conn{socket: c, r: bufio.NewReaderSize(c, 4<<10), mu: make(turn, 1), most: leastMost}
+}
+
+// turn is a lock that can be waited for within a time: who writes keeps it for as long as the peer does not read.
+type turn chan struct{}
+
+func (t turn) Lock()   { t <- struct{}{} }
+func (t turn) Unlock() { <-t }
+
+func (t turn) TryLock() bool {
+	select {
+	case t <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+// within takes the lock unless ctx ends first.
+func (t turn) within(ctx context.Context) bool {
+	select {
+	case t <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // within bounds the next read. Whatever comes meanwhile, a greeting as a whole
@@ -251,21 +276,17 @@
 
 // write sends a frame in one piece; nothing goes out after a close.
 func (c *conn) write(channel uint16, p perf, payload []byte) error {
-	return c.send(channel, p, payload, nil, nil)
+	return c.send(channel, p, payload, nil)
 }
 
 // send is write for a session that others go on beside: nothing of it may go out after its end. shut is whether that has;
-// it is guarded by the connection's lock. nil: the session's end is none of the connection's business. may is asked
-// just before the frame goes out, after the wait for others who write; nil: it may.
-func (c *conn) send(channel uint16, p perf, payload []byte, shut *bool, may func() bool) error {
+// it is guarded by the connection's lock. nil: the session's end is none of the connection's business.
+func (c *conn) send(channel uint16, p perf, payload []byte, shut *bool) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.quit || shut != nil && *shut {
 		return errQuit
 	}
-	if may != nil && !may() {
-		return errMoot
-	}
 	if shut != nil {
 		*shut = p.code == codeEnd
 	}
--- a/internal/spoken/amqp/mux.go
+++ b/internal/spoken/amqp/mux.go
@@ -36,6 +36,7 @@
 	mu    sync.Mutex
 	queue []frame
 	in    int  // transfers among them
+	told  bool // the peer has heard of it, or is about to
 	ended bool // from here
 	said  bool // and the peer has been sent that: before it has, the channel can't begin again
 	done  bool // from the peer, or the connection is at its end
@@ -161,6 +162,7 @@
 		return fault{condNotAllowed, fmt.Sprintf("channel %d can't begin a session", f.channel)}
 	}
 	l := m.newLane(f.channel, func() {})
+	l.told = true
 	m.ours[f.channel], m.theirs[f.channel] = l, l
 	m.mu.Unlock()
 	if err := l.begun(f.perf); err != nil {
@@ -299,26 +301,29 @@
 	return l.isDone()
 }
 
-// drop gives up a lane of which the peer has heard nothing.
-func (l *lane) drop() {
+func (l *lane) isDone() bool {
 	l.mu.Lock()
-	l.ended, l.said, l.done = true, true, true
-	l.mu.Unlock()
-	l.session.end()
-	l.mux.forget(l)
+	defer l.mu.Unlock()
+	return l.done
 }
 
-func (l *lane) isDone() bool {
+// begins tells whether the session may begin: it does, unless it was ended before.
+func (l *lane) begins() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.done
+	l.told = !l.ended
+	return l.told
 }
 
-// settle says the end from here, once; with the peer's the channels are free again.
+// settle says the end from here, once; with the peer's the channels are free again. The peer is told nothing of a session of
+// which it has heard nothing.
 func (l *lane) settle() {
 	l.mu.Lock()
 	first := !l.ended
 	l.ended = true
+	if !l.told {
+		first, l.said, l.done = false, true, true
+	}
 	l.mu.Unlock()
 	if first {
 		l.session.end()
--- a/internal/spoken/amqp/passing_test.go
+++ b/internal/spoken/amqp/passing_test.go
@@ -191,6 +191,20 @@
 	}
 }
 
+// until passes over what comes before a performative with a condition at a field.
+func (c *raw) until(code uint64, at int, cond string, each time.Duration) {
+	c.t.Helper()
+	for {
+		f, err := c.read(frameAMQP, each)
+		if err != nil {
+			c.t.Fatalf("waiting for %#x with %q: %v", code, cond, err)
+		}
+		if got, _ := f.condition(at); f.code == code && got == cond {
+			return
+		}
+	}
+}
+
 func TestWrongFramesGetTheStandardsConditions(t *testing.T) {
 	props := mapping{symbol(propClass), "page", symbol(propGiveUp), uint32(400)}
 	for name, c := range map[string]struct {
--- a/internal/spoken/amqp/server.go
+++ b/internal/spoken/amqp/server.go
@@ -14,6 +14,7 @@
 
 	"lockroad/balance"
 	"lockroad/internal/core"
+	"lockroad/internal/memory"
 	"lockroad/internal/pool"
 	"lockroad/internal/secure"
 	"lockroad/internal/spoken"
@@ -78,25 +79,14 @@
 	u.SetReadDeadline(time.Now().Add(wait))
 }
 
-// reach opens a session at a server, for a pass that is to go out.
-func (f *Front) reach(ctx context.Context, out core.Out, address string, bound time.Duration) (*upstream, error) {
+// reach opens a connection to a server, with a session on it; on a shared one the session begins as the attach goes out.
+func (f *Front) reach(ctx context.Context, to memory.Server, address string, bound time.Duration) (*upstream, error) {
 	if f.trunks != nil {
-		l, id, err := f.trunks.lane(ctx, out.To, address, bound)
+		l, id, err := f.trunks.lane(ctx, to, address, bound)
 		if err != nil {
 			return nil, err
 		}
 		u := &upstream{session: l.session, lane: l, shared: id, trunks: f.trunks, stop: make(chan struct{})}
-		// The attach follows without waiting for the answer, which saves a round trip.
-		// Who writes on the connection already may keep it for seconds, if the server does not read.
-		err = u.writeIf(func() bool { return out.May(ctx) }, u.begin(nil))
-		if errors.Is(err, errMoot) {
-			l.drop()
-			return nil, err
-		}
-		if err != nil {
-			u.Close()
-			return nil, err
-		}
 		return u, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, bound)
@@ -271,10 +261,7 @@
 	if host, _, err := net.SplitHostPort(address); err == nil && l.front.ServerPort != 0 {
 		address = net.JoinHostPort(host, strconv.Itoa(l.front.ServerPort))
 	}
-	u, err := l.front.reach(ctx, out, address, min(cmp.Or(l.front.Core.Terms().Connect, out.Wait), out.Wait))
-	if errors.Is(err, errMoot) {
-		return nil, balance.Moot
-	}
+	u, err := l.front.reach(ctx, out.To, address, min(cmp.Or(l.front.Core.Terms().Connect, out.Wait), out.Wait))
 	if err != nil {
 		return nil, spoken.Unsent(ctx)
 	}
@@ -295,7 +282,13 @@
 func (l *link) ask(ctx context.Context, u *upstream, out core.Out) balance.Status {
 	props, _ := l.attach.field(13).(mapping)
 	p := l.attach.with(1, uint32(0)).with(13, props.with(propGiveUp, uint32(max(1, out.Left(ctx).Milliseconds()))))
-	switch err := u.writeIf(func() bool { return out.May(ctx) }, p); {
+	frames := []perf{p}
+	may := func() bool { return out.May(ctx) }
+	if u.lane != nil { // the attach follows the begin without waiting for the answer, which saves a round trip
+		frames = []perf{u.begin(nil), p}
+		may = func() bool { return out.May(ctx) && u.lane.begins() }
+	}
+	switch err := u.sendFirst(ctx, may, frames...); {
 	case errors.Is(err, errMoot):
 		return balance.Moot
 	case err != nil:
--- a/internal/spoken/amqp/session.go
+++ b/internal/spoken/amqp/session.go
@@ -1,6 +1,7 @@
 package amqp
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"time"
@@ -37,12 +38,28 @@
 
 // write sends a frame of the session.
 func (s *session) write(channel uint16, p perf, payload []byte) error {
-	return s.conn.send(channel, p, payload, s.shut, nil)
+	return s.conn.send(channel, p, payload, s.shut)
 }
 
-// writeIf sends a frame of the session if it still may as its turn on the connection comes.
-func (s *session) writeIf(may func() bool, p perf) error {
-	return s.conn.send(s.channel, p, nil, s.shut, may)
+// sendFirst sends the frames that begin something of the session, in one piece. It waits for others who write on the connection,
+// no longer than ctx; may is asked just before anything goes out.
+func (s *session) sendFirst(ctx context.Context, may func() bool, frames ...perf) error {
+	c := s.conn
+	if !c.mu.within(ctx) {
+		return ctx.Err()
+	}
+	defer c.mu.Unlock()
+	if c.quit {
+		return errQuit
+	}
+	if !may() {
+		return errMoot
+	}
+	c.buf = c.buf[:0]
+	for _, p := range frames {
+		c.buf = appendFrame(c.buf, frameAMQP, s.channel, p, nil)
+	}
+	return c.flush()
 }
 
 // begin is the relay's begin; remote is the channel it answers, or nil.
