--- a/internal/lifecycle/run_test.go
+++ b/internal/lifecycle/run_test.go
@@ -249,6 +249,19 @@
 	return lineFront(t, o.Console.Socket), end
 }
 
+// endsWithin waits for the relay's end, which has to come before SIGKILL does.
+func endsWithin(t *testing.T, done <-chan error, told time.Time, most time.Duration) {
+	t.Helper()
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(time.Until(told.Add(most))):
+		t.Error("the relay is still there when SIGKILL comes")
+	}
+}
+
 // At a planned restart clients still come for a moment: they are served as the
 // others, everyone is told to move, and the relay ends well before SIGKILL.
 func TestRelayLeavesInGoodOrder(t *testing.T) {
@@ -263,14 +276,7 @@
 			t.Errorf("client %d was told %q, %v", i, rest, err)
 		}
 	}
-	select {
-	case err := <-done:
-		if err != nil {
-			t.Error(err)
-		}
-	case <-time.After(time.Until(told.Add(2200 * time.Millisecond))): // the class's 1.5 s and 0.7
-		t.Error("the relay is still there when SIGKILL comes")
-	}
+	endsWithin(t, done, told, 2200*time.Millisecond) // the class's 1.5 s and 0.7
 }
 
 // Where deadlines are short SIGKILL comes soon: a client of AMQP without a link is told that its connection is closed, and
@@ -306,14 +312,7 @@
 	if rest, err := io.ReadAll(rests); string(rest) != "BUSY\r\n" || err != nil {
 		t.Errorf("the client of lines was told %q, %v", rest, err)
 	}
-	select {
-	case err := <-done:
-		if err != nil {
-			t.Error(err)
-		}
-	case <-time.After(time.Until(told.Add(900 * time.Millisecond))): // the class's 0.2 s and 0.7
-		t.Error("the relay is still there when SIGKILL comes")
-	}
+	endsWithin(t, done, told, 900*time.Millisecond) // the class's 0.2 s and 0.7
 }
 
 // A relay that leaves while its servers hang: who is at one of them, who comes after the word to leave, and who is in the
@@ -364,14 +363,7 @@
 			t.Errorf("client %d was told %q, %v", i, rest, err)
 		}
 	}
-	select {
-	case err := <-done:
-		if err != nil {
-			t.Error(err)
-		}
-	case <-time.After(time.Until(told.Add(2200 * time.Millisecond))): // the class's 1.5 s and 0.7
-		t.Error("the relay is still there when SIGKILL comes")
-	}
+	endsWithin(t, done, told, 2200*time.Millisecond) // the class's 1.5 s and 0.7
 }
 
 // A relay that leaves while it is asked answers whole or not at all, and leaves in time.
