--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -9,7 +9,6 @@
 	"net"
 	"strconv"
 	"strings"
-	"time"
 
 	"lockroad/balance"
 	"lockroad/internal/spoken/discovery"
@@ -99,12 +98,11 @@
 		f.add("settings", "%v", err)
 		return nil
 	}
-	if us := names.Limits.MaxRetryAfterUs; us < 0 || us > 1e15 {
-		f.add("settings.Limits.MaxRetryAfterUs", "is a time of %v microseconds, which is out of range", us)
+	// On sockets an unavailable answer always has room for when to come back.
+	if set.MaxRetryAfter, err = wire.Span(names.Limits.MaxRetryAfterUs); err != nil {
+		f.add("settings.Limits.MaxRetryAfterUs", "%v", err)
 		return nil
 	}
-	// On sockets an unavailable answer always has room for when to come back.
-	set.MaxRetryAfter = time.Duration(names.Limits.MaxRetryAfterUs) * time.Microsecond
 	c := &Config{
 		Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Admin: raw.Admin, Seed: seed,
 		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets,
--- a/internal/lifecycle/run_test.go
+++ b/internal/lifecycle/run_test.go
@@ -390,15 +390,9 @@
 			n++
 		}
 	}()
+	told := time.Now()
 	close(drain)
-	select {
-	case err := <-done:
-		if err != nil {
-			t.Error(err)
-		}
-	case <-time.After(2200 * time.Millisecond): // the class's 1.5 s and 0.7
-		t.Error("the relay is still there when SIGKILL comes")
-	}
+	endsWithin(t, done, told, 2200*time.Millisecond) // the class's 1.5 s and 0.7
 	if n := <-asked; n == 0 {
 		t.Error("no question was answered")
 	}
--- a/internal/spoken/amqp/blocked_test.go
+++ b/internal/spoken/amqp/blocked_test.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// sawTheFirstAlone ends the relay, and checks that nothing has come to the server but its first link.
+func (d *dam) sawTheFirstAlone(t *testing.T, r *rig) {
+	t.Helper()
+	r.end()
+	<-d.over
+	if d.begun != 1 || !slices.Equal(d.attached, []string{"first"}) {
+		t.Errorf("the server has seen %d sessions, and the links %q", d.begun, d.attached)
+	}
+}
+
 // damRig is a relay whose transactions share connections to such a server, and a client that has one.
 func damRig(t *testing.T, d *dam) (*rig, *Front, *client10.Sender) {
 	t.Helper()
@@ -197,11 +207,7 @@
 				d.let()
 			}
 			first.Close(t.Context())
-			r.end()
-			<-d.over
-			if d.begun != 1 || !slices.Equal(d.attached, []string{"first"}) {
-				t.Errorf("the server has seen %d sessions, and the links %q", d.begun, d.attached)
-			}
+			d.sawTheFirstAlone(t, r)
 		})
 	}
 }
@@ -240,11 +246,7 @@
 	first.Close(t.Context())
 	second.Close()
 	steps.Until(t, "both are over", func() bool { return r.core.Transactions.Len() == 0 })
-	r.end()
-	<-d.over
-	if d.begun != 1 || !slices.Equal(d.attached, []string{"first"}) {
-		t.Errorf("the server has seen %d sessions, and the links %q", d.begun, d.attached)
-	}
+	d.sawTheFirstAlone(t, r)
 }
 
 // A frame that went out in part is the last on its connection: the next would be read as its rest, by a server that
--- a/internal/spoken/amqp/frame.go
+++ b/internal/spoken/amqp/frame.go
@@ -228,8 +228,8 @@
 	}
 }
 
-// within takes the lock unless ctx ends first.
-func (t turn) within(ctx context.Context) bool {
+// lockWithin takes the lock unless ctx ends first.
+func (t turn) lockWithin(ctx context.Context) bool {
 	select {
 	case t <- struct{}{}:
 		return true
--- a/internal/spoken/amqp/front.go
+++ b/internal/spoken/amqp/front.go
@@ -84,7 +84,7 @@
 		f.Core.Misspoke("amqp", bad.text)
 		c.write(0, perf{codeClose, list{errorOf(bad.cond, bad.text, nil)}}, nil)
 	}
-	for _, s := range c.sessions { // ahead of all else: nothing of them is to go to a server any more
+	for _, s := range c.sessions { // ahead of the wait: nothing of them is to go to a server any more
 		s.lost()
 	}
 	c.linger()
--- a/internal/spoken/amqp/server.go
+++ b/internal/spoken/amqp/server.go
@@ -86,8 +86,7 @@
 		if err != nil {
 			return nil, err
 		}
-		u := &upstream{session: l.session, lane: l, shared: id, trunks: f.trunks, stop: make(chan struct{})}
-		return u, nil
+		return &upstream{session: l.session, lane: l, shared: id, trunks: f.trunks, stop: make(chan struct{})}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
--- a/internal/spoken/amqp/session.go
+++ b/internal/spoken/amqp/session.go
@@ -45,7 +45,7 @@
 // no longer than ctx; may is asked just before anything goes out.
 func (s *session) sendFirst(ctx context.Context, may func() bool, frames ...perf) error {
 	c := s.conn
-	if !c.mu.within(ctx) {
+	if !c.mu.lockWithin(ctx) {
 		return ctx.Err()
 	}
 	defer c.mu.Unlock()
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -68,13 +68,25 @@
 	return v
 }
 
-func span(r *settingsReader, o object, path, key string) time.Duration {
-	us := need[float64](r, o, path, key)
-	if us < 0 || us > 1e15 {
-		r.failf(path+key, "is a time of %v microseconds, which is out of range", us)
-		return 0
+// Span is a time that the settings tell in microseconds.
+func Span(us float64) (time.Duration, error) {
+	if !(us >= 0 && us <= 1e15) {
+		return 0, fmt.Errorf("is a time of %v microseconds, which is out of range", us)
+	}
+	return time.Duration(us) * time.Microsecond, nil
+}
+
+// span is a Span that is told under a key.
+func (r *settingsReader) span(key string, us float64) time.Duration {
+	t, err := Span(us)
+	if err != nil {
+		r.failf(key, "%v", err)
 	}
-	return time.Duration(us) * time.Microsecond
+	return t
+}
+
+func span(r *settingsReader, o object, path, key string) time.Duration {
+	return r.span(path+key, need[float64](r, o, path, key))
 }
 
 // over reads a time that has to be over 0.
@@ -206,11 +218,7 @@
 			class.Memory = over(r, c, path, "MemorySpanUs")
 		}
 		if i < len(messageAims) {
-			if aim := messageAims[i]; !(aim >= 0 && aim <= 1e15) {
-				r.failf(fmt.Sprintf("Specifics.MessageAimUs[%d]", i), "is a time of %v microseconds, which is out of range", aim)
-				continue
-			}
-			class.MessageAim = time.Duration(messageAims[i]) * time.Microsecond
+			class.MessageAim = r.span(fmt.Sprintf("Specifics.MessageAimUs[%d]", i), messageAims[i])
 		}
 		list = append(list, class)
 	}
