--- a/cmd/lockfault/main.go
+++ b/cmd/lockfault/main.go
@@ -107,6 +107,15 @@
 		ctx, done = context.WithTimeout(ctx, c.For)
 		defer done()
 	}
+	var commands net.Listener
+	if c.Socket != "" { // before a route is told of: who has read one may command
+		l, err := net.Listen("unix", c.Socket)
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		commands = l
+	}
 	p := fault.NewProxy(rules, c.Seed)
 	defer p.Close()
 	out := &lines{w: s.out, queue: make(chan fault.Line, 1024)}
@@ -125,12 +134,8 @@
 		out.tell(fault.Line{Route: name, Listen: at, Target: target, Done: "open"})
 	}
 	p.Restart()
-	if c.Socket != "" {
-		l, err := net.Listen("unix", c.Socket)
-		if err != nil {
-			return err
-		}
-		go p.Serve(ctx, l)
+	if commands != nil {
+		go p.Serve(ctx, commands)
 	}
 	if c.Commands {
 		ended := make(chan error, 1)
--- a/cmd/lockfault/main_test.go
+++ b/cmd/lockfault/main_test.go
@@ -81,13 +81,6 @@
 	c.SetDeadline(time.Now().Add(5 * time.Second))
 	io.WriteString(c, "x")
 	io.ReadFull(c, make([]byte, 1))
-	for late := time.Now().Add(5 * time.Second); ; { // until the socket is there
-		if _, err := os.Stat(socket); err == nil {
-			break
-		} else if time.Now().After(late) {
-			t.Fatal(err)
-		}
-	}
 	if code, out, errs := command("tell", socket, "(add (rule a (on-command) (direction up) (cut rst)))"); code != 0 {
 		t.Fatalf("code %d: %s%s", code, out, errs)
 	}
