--- a/internal/lifecycle/run_test.go
+++ b/internal/lifecycle/run_test.go
@@ -206,20 +206,23 @@
 	return startAt(t, "", words, discovery, o, log)
 }
 
+// accepts answers whoever comes to a server, and keeps them until the test's end.
+func accepts(t *testing.T, server net.Listener, answer string) {
+	for {
+		c, err := server.Accept()
+		if err != nil {
+			return
+		}
+		io.WriteString(c, answer)
+		t.Cleanup(func() { c.Close() })
+	}
+}
+
 // startAt is the same, with a second address.
 func startAt(t *testing.T, admin string, words Words, discovery net.Listener, o *Operator, log io.Writer) (address string, done <-chan error) {
 	t.Helper()
 	server := listen(t)
-	go func() {
-		for {
-			c, err := server.Accept()
-			if err != nil {
-				return
-			}
-			io.WriteString(c, "UP 1\r\n")
-			t.Cleanup(func() { c.Close() })
-		}
-	}()
+	go accepts(t, server, "UP 1\r\n")
 	return startOn(t, admin, words, discovery, server, o, log)
 }
 
@@ -405,16 +408,7 @@
 	firstList = time.Minute // the agent waits for the client here
 	t.Cleanup(func() { firstList = usual })
 	agent, other := listen(t), listen(t)
-	go func() {
-		for {
-			c, err := other.Accept()
-			if err != nil {
-				return
-			}
-			io.WriteString(c, "UP 2\r\n")
-			t.Cleanup(func() { c.Close() })
-		}
-	}()
+	go accepts(t, other, "UP 2\r\n")
 	address, _ := start(t, Words{}, agent, &Operator{}, io.Discard)
 	_, _, conn := heldWatch(t, agent)
 	c, err := net.Dial("tcp", address)
--- a/internal/spoken/discovery/discovery.go
+++ b/internal/spoken/discovery/discovery.go
@@ -99,6 +99,7 @@
 	kept   List
 	next   string             // where the watch is to be opened from now on; "" if where it is
 	whole  bool               // the next watch wants the list whole
+	due    bool               // it will, in a moment
 	cancel context.CancelFunc // ends the watch that is open
 }
 
@@ -287,16 +288,28 @@
 	}
 	if held {
 		w.Core.Log.Warn("an older list has servers ready that were told to leave; they are held back", "revision", l.Revision, "newest", w.newest)
-		time.AfterFunc(staleFor, func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			if w.whole = true; w.cancel != nil {
-				w.cancel()
-			}
-		})
+		w.askAnew()
 	}
 }
 
+// askAnew has the list asked for anew, whole, in a moment; once, however often it is called until then.
+func (w *Watcher) askAnew() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.due {
+		return
+	}
+	w.due = true
+	time.AfterFunc(staleFor, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.due, w.whole = false, true
+		if w.cancel != nil {
+			w.cancel()
+		}
+	})
+}
+
 // answered notes that a watch has brought a list.
 func (w *Watcher) answered() {
 	w.mu.Lock()
--- a/internal/spoken/discovery/discovery_test.go
+++ b/internal/spoken/discovery/discovery_test.go
@@ -40,13 +40,32 @@
 
 // agent is a stand-in of discovery's agent. Each watch gets the chunks of its turn.
 func agent(t *testing.T, turns ...[]string) (address string, asked <-chan string) {
+	t.Helper()
+	requests := make(chan string, len(turns)+8)
+	address = asks(t, func(c net.Conn, request string) {
+		requests <- request
+		if len(turns) == 0 {
+			t.Cleanup(func() { c.Close() })
+			return // says nothing, as one that is down
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\ntransfer-encoding: Chunked\r\n\r\n")
+		for _, text := range turns[0] {
+			io.WriteString(c, chunk(text))
+		}
+		turns = turns[1:]
+		c.Close()
+	})
+	return address, requests
+}
+
+// asks listens as discovery's agent does, and gives each call with its first line to call, one after another.
+func asks(t *testing.T, call func(c net.Conn, request string)) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	requests := make(chan string, len(turns)+8)
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -54,20 +73,10 @@
 				return
 			}
 			text, _ := bufio.NewReader(c).ReadString('\n')
-			requests <- strings.TrimSpace(text)
-			if len(turns) == 0 {
-				t.Cleanup(func() { c.Close() })
-				continue // says nothing, as one that is down
-			}
-			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\ntransfer-encoding: Chunked\r\n\r\n")
-			for _, text := range turns[0] {
-				io.WriteString(c, chunk(text))
-			}
-			turns = turns[1:]
-			c.Close()
+			call(c, strings.TrimSpace(text))
 		}
 	}()
-	return l.Addr().String(), requests
+	return l.Addr().String()
 }
 
 // wantWatches waits for watches to be opened, each from its revision.
@@ -296,23 +305,11 @@
 
 func newScripted(t *testing.T) *scripted {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &scripted{t, make(chan *held, 64), l.Addr().String()}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			text, _ := bufio.NewReader(c).ReadString('\n')
-			_, from, _ := strings.Cut(strings.TrimSuffix(strings.TrimSpace(text), " HTTP/1.1"), "from=")
-			s.watches <- &held{c, from}
-		}
-	}()
+	s := &scripted{t: t, watches: make(chan *held, 64)}
+	s.address = asks(t, func(c net.Conn, request string) {
+		_, from, _ := strings.Cut(strings.TrimSuffix(request, " HTTP/1.1"), "from=")
+		s.watches <- &held{c, from}
+	})
 	return s
 }
 
