--- a/internal/spoken/amqp/blocked_test.go
+++ b/internal/spoken/amqp/blocked_test.go
@@ -290,3 +290,32 @@
 	}
 	steps.Until(t, "the transaction is over", func() bool { return r.core.Transactions.Len() == 0 })
 }
+
+// A pass that is given up, or a transaction that ends, closes its session at once, while a word of its server may be in
+// hand already: a flow that is taken after that opens no window, and ends no relay.
+func TestAFlowInHandAsItsSessionEndsChangesNothing(t *testing.T) {
+	d := newDam(t, 3, 100)
+	r, front, first := damRig(t, d)
+	u, err := front.reach(t.Context(), r.core.Farm.List()[0], d.Addr().String(), 5*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	attach := perf{codeAttach, list{"second", uint32(0), false}}
+	if err := u.sendFirst(t.Context(), u.lane.begins, u.begin(nil), attach); err != nil {
+		t.Fatal(err)
+	}
+	var f frame
+	for f.code != codeFlow {
+		if f, err = u.next(5 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	u.Close()
+	u.flowed(f.perf)
+	if err := u.await(); err != errQuit {
+		t.Errorf("a transfer of a session that has ended: %v", err)
+	}
+	if err := first.Send(t.Context(), client10.NewMessage(damPage), nil); err != nil {
+		t.Errorf("a transaction beside it: %v", err)
+	}
+}
--- a/internal/spoken/amqp/session.go
+++ b/internal/spoken/amqp/session.go
@@ -82,6 +82,9 @@
 func (s *session) flowed(p perf) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.over { // it was ended while the flow was in hand
+		return
+	}
 	// What the peer still takes counts from the transfers that it has seen.
 	s.window = p.number(0, 0) + p.number(1, 0) - s.out
 	if int32(s.window) < 0 {
