--- a/review/stand-2/testdata/rig/line.go
+++ b/review/stand-2/testdata/rig/line.go
@@ -34,7 +34,7 @@
 // NewServer starts a server.
 func (c *Case) NewServer(name string) *Server {
 	s := &Server{Name: name, c: c, conns: make(map[net.Conn]bool)}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", c.FreeAddress())
 	c.Need(err)
 	s.Address = l.Addr().String()
 	s.serve(l)
--- a/review/stand-2/testdata/rig/rig.go
+++ b/review/stand-2/testdata/rig/rig.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -35,6 +36,7 @@
 	record  *os.File
 	start   time.Time
 	cleanup []func()
+	used    map[string]bool // addresses that FreeAddress has returned
 }
 
 // notRun ends a case that could not run; Main turns it into exit code 2.
@@ -42,7 +44,7 @@
 
 // Main runs a case and exits with its code. The environment names the case's folder (CASE_DIR) and the root (ROOT).
 func Main(run func(*Case) bool) {
-	c := &Case{Trouble: os.Getenv("TROUBLE") != "0", Root: os.Getenv("ROOT"), start: time.Now()}
+	c := &Case{Trouble: os.Getenv("TROUBLE") != "0", Root: os.Getenv("ROOT"), start: time.Now(), used: make(map[string]bool)}
 	code := NotRun
 	var err error
 	if c.record, err = os.Create(filepath.Join(os.Getenv("CASE_DIR"), "record.txt")); err != nil {
@@ -115,12 +117,23 @@
 	c.cleanup = append(c.cleanup, f)
 }
 
-// FreeAddress returns a loopback address on which nobody listens.
+// FreeAddress returns a loopback address on which nobody listens, each only once. Its port is under those that the system
+// deals to connections.
 func (c *Case) FreeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Need(err)
-	defer l.Close()
-	return l.Addr().String()
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(15000))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		if !c.used[address] {
+			c.used[address] = true
+			return address
+		}
+	}
+	c.Fail("no free port")
+	return ""
 }
 
 // WriteFile replaces a file of the temporary folder as a whole, and returns its path.
