Pass console orders to drain on to the process that serves during an upgrade

Cause: from the takeover on the console belongs to the old process and the clients to the new one. Each had a table of orders of its own; the new one got a copy with the offer and no change after that. It read the store only once the old process had ended, and kept its own older copy of an order over the stored one.

Change: the hot restart protocol has calls from the old process to the new one, and a state that is sent on each change between the offer and the takeover, and with the confirmation of the takeover. An order is confirmed once the process that serves has put it into force, and otherwise taken back and refused with the reason. Earlier releases announce no calls and get none; orders are refused beside them. Golden files hold the messages of both. Store and console are awaited as long as the older process holds them. Counts of requests left at a server are those of both processes.

--- /dev/null
+++ b/cmd/lockroad/orders_test.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"lockroad/internal/testutil"
+)
+
+// These tests give orders at the console while several processes of one relay run. A confirmed order must hold for the
+// process that serves, whichever that is and however the others end.
+
+// drainGrace is the time after a confirmed order to drain from which the endpoint may get no new attempt: DrainGraceUs of
+// the settings and the 50 ms by which every limit is longer on sockets.
+const drainGrace = 550 * time.Millisecond
+
+// orderCluster is a cluster whose relay has a console, and a store if withStore.
+type orderCluster struct {
+	*testCluster
+	socket, env string
+}
+
+func newOrderCluster(t *testing.T, withStore bool) *orderCluster {
+	t.Helper()
+	cluster, socket, env := newClusterWithStore(t)
+	cluster.classes = latencyTolerantClasses
+	cluster.writeConfig(cluster.classes)
+	if !withStore {
+		if err := os.WriteFile(filepath.Join(cluster.dir, "operator.toml"), fmt.Appendf(nil, "[console]\nsocket = %q\n", socket), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return &orderCluster{testCluster: cluster, socket: socket, env: env}
+}
+
+// start starts a process of the relay and waits until it is ready.
+func (cluster *orderCluster) start() *process {
+	cluster.t.Helper()
+	p := cluster.startProcess(cluster.env, "LOCKROAD_SUPERVISED=1")
+	p.awaitReady()
+	return p
+}
+
+func (cluster *orderCluster) order(command string, want ...string) {
+	cluster.t.Helper()
+	runConsole(cluster.t, cluster.socket, command, want...)
+}
+
+// requireDrained lets clients run and fails the test if an endpoint gets attempts later than drainGrace after a time.
+func (cluster *orderCluster) requireDrained(endpoint string, since time.Time) {
+	cluster.t.Helper()
+	time.Sleep(time.Until(since.Add(drainGrace)))
+	before := len(cluster.site.Log.Attempts())
+	testutil.Until(cluster.t, "no attempts reach the other endpoints", func() bool { return len(cluster.site.Log.Attempts()) > before+20 })
+	if n := cluster.attemptsAt(endpoint, since.Add(drainGrace)); n > 0 {
+		cluster.t.Errorf("%d attempts went to %s, which drains by a confirmed order", n, endpoint)
+	}
+}
+
+// requireServed waits until an endpoint gets attempts again.
+func (cluster *orderCluster) requireServed(endpoint string) {
+	cluster.t.Helper()
+	since := time.Now()
+	testutil.Until(cluster.t, "no attempt goes to "+endpoint, func() bool { return cluster.attemptsAt(endpoint, since) > 0 })
+}
+
+// eachStore runs a test with a store and without one.
+func eachStore(t *testing.T, test func(cluster *orderCluster)) {
+	t.Parallel()
+	for name, withStore := range map[string]bool{"store": true, "no store": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			test(newOrderCluster(t, withStore))
+		})
+	}
+}
+
+// The order was confirmed by the predecessor alone, and the successor, which serves, never heard of it.
+func TestDrainOrderDuringUpgradeHoldsForSuccessor(t *testing.T) {
+	for _, end := range []string{"stopped", "killed"} {
+		t.Run(end, func(t *testing.T) {
+			eachStore(t, func(cluster *orderCluster) {
+				old := cluster.start()
+				next := cluster.start()
+				cluster.startClients(60)
+				cluster.order("drain s-9", `server "s-9" is not in the endpoint list`)
+				cluster.order("drain s-1 for 1h", "gets no new transactions")
+				ordered := time.Now()
+				cluster.requireDrained("s-1", ordered)
+				if end == "killed" {
+					old.kill()
+				} else {
+					old.shutDown()
+				}
+				cluster.order("orders", "s-1")
+				cluster.requireDrained("s-1", ordered)
+				cluster.order("undrain s-1", "follows the endpoint list again")
+				cluster.requireServed("s-1")
+				next.requireRunning()
+			})
+		})
+	}
+}
+
+// A successor that is lost leaves the predecessor serving, by the last orders: the one for s-1 was withdrawn and the one
+// for s-2 was given while the successor served.
+func TestOrdersDuringUpgradeHoldForPredecessor(t *testing.T) {
+	eachStore(t, func(cluster *orderCluster) {
+		old := cluster.start()
+		cluster.order("drain s-1", "gets no new transactions")
+		next := cluster.start()
+		cluster.startClients(60)
+		cluster.order("undrain s-1", "follows the endpoint list again")
+		cluster.requireServed("s-1")
+		cluster.order("drain s-2", "gets no new transactions")
+		ordered := time.Now()
+		cluster.requireDrained("s-2", ordered)
+		next.kill()
+		cluster.requireDrained("s-2", ordered)
+		cluster.requireServed("s-1")
+		old.requireRunning()
+	})
+}
+
+// The older copy of a replaced order won over the newer one after an upgrade, expired, and took the newer one out of the
+// store.
+func TestReplacedOrderOutlastsUpgrade(t *testing.T) {
+	eachStore(t, func(cluster *orderCluster) {
+		old := cluster.start()
+		cluster.order("drain s-1 for 3s because short", "gets no new transactions")
+		ordered := time.Now()
+		next := cluster.start()
+		cluster.startClients(60)
+		cluster.order("drain s-1 for 1h because long", "this replaces the order")
+		old.shutDown()
+		time.Sleep(time.Until(ordered.Add(4500 * time.Millisecond))) // the first order has expired
+		cluster.order("orders", "s-1", `"long"`)
+		cluster.requireDrained("s-1", ordered)
+		next.requireRunning()
+	})
+}
+
+// An order that the successor does not confirm must be refused and hold nowhere, not even once the successor runs again.
+func TestUnconfirmedOrderIsRefused(t *testing.T) {
+	t.Parallel()
+	cluster := newOrderCluster(t, true)
+	old, next := cluster.start(), cluster.start()
+	_ = next.Process.Signal(syscall.SIGSTOP)
+	cluster.order("drain s-1", "did not confirm this")
+	cluster.order("orders", "no order is in force")
+	_ = next.Process.Signal(syscall.SIGCONT)
+	cluster.startClients(60)
+	time.Sleep(1500 * time.Millisecond) // the predecessor repeats each second what the successor has not confirmed
+	cluster.requireServed("s-1")
+	old.shutDown()
+	cluster.order("orders", "no order is in force")
+	cluster.requireServed("s-1")
+}
--- a/internal/console/commands.go
+++ b/internal/console/commands.go
@@ -63,7 +63,7 @@
 		{"restart", "", "move all clients away and restart the relay; needs a supervisor", noArgs(restart), false},
 		{"health", "", "which servers are up, by their probes and attempts", report((*Server).health), true},
 		{"reload", "[--dry-run]", "apply the configuration file again, or only show what would change", reload, false},
-		{"orders", "", "the orders in force to drain servers", report((*Server).drainDirectives), true},
+		{"orders", "", "the orders in force to drain servers", noArgs(drainDirectives), true},
 		{"store", "", "statistics of the store on disk", report((*Server).storeStats), true},
 		{"log", "[LINES]", "the last lines of the log", logLines, true},
 		{"help", "[why]", "this list; with --json a command writes one JSON object per line", help, false},
--- a/internal/console/drain.go
+++ b/internal/console/drain.go
@@ -56,7 +56,7 @@
 		return err
 	}
 	fmt.Fprintf(out, "%s drains: it gets no new transactions, and its %d transactions are moved away; %s\n",
-		directive.Endpoint, s.requestsByEndpoint()[directive.Endpoint], persistenceText(storeErr))
+		directive.Endpoint, s.requestsByEndpoint(ctx)[directive.Endpoint], persistenceText(storeErr))
 	if previous != nil {
 		fmt.Fprintf(out, "this replaces the order of %s from %s%s\n", previous.By, formatTime(previous.Since), reasonClause(previous.Reason))
 	}
@@ -131,16 +131,16 @@
 
 // drainDirectives shows the drain directives in force, with the number of requests that are still
 // at each endpoint.
-func (s *Server) drainDirectives(out io.Writer) {
+func drainDirectives(ctx context.Context, s *Server, _ call, out io.Writer) error {
 	var directives []persistence.DrainDirective
 	if s.Persistence != nil {
 		directives = s.Persistence.DrainDirectives()
 	}
 	if len(directives) == 0 {
 		fmt.Fprintln(out, "no order is in force")
-		return
+		return nil
 	}
-	requests := s.requestsByEndpoint()
+	requests := s.requestsByEndpoint(ctx)
 	writeTable(out, []string{"SERVER", "LEFT THERE", "BY", "SINCE", "UNTIL", "BECAUSE"}, func(row rowFunc) {
 		for _, directive := range directives {
 			until := "withdrawn"
@@ -150,4 +150,5 @@
 			row(directive.Endpoint, requests[directive.Endpoint], directive.By, formatTime(directive.Since), until, strconv.Quote(directive.Reason))
 		}
 	})
+	return nil
 }
--- a/internal/console/server.go
+++ b/internal/console/server.go
@@ -51,6 +51,9 @@
 	// because most health checks fail. nil: endpoints have no health checks.
 	Health  func() (all []healthcheck.EndpointHealth, panicMode bool)
 	LogTail func(limit int) []string // returns the last lines of the log; nil: none are retained
+	// Requests counts the requests at each endpoint, by name, including attempts in progress. nil:
+	// those of Proxy are counted.
+	Requests func(ctx context.Context) map[string]int
 	// Restart migrates all clients off the relay and restarts it. It returns an error if the relay
 	// can't be restarted. nil: restarts are not supported.
 	Restart func() error
--- a/internal/console/status.go
+++ b/internal/console/status.go
@@ -51,7 +51,7 @@
 // endpointViews shows the balancer's view of the endpoints, without those that are gone and have no
 // requests left.
 func endpointViews(ctx context.Context, s *Server, _ call, out io.Writer) error {
-	requests := s.requestsByEndpoint()
+	requests := s.requestsByEndpoint(ctx)
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
 	views := s.Proxy.EndpointViews(ctx)
@@ -87,14 +87,11 @@
 }
 
 // requestsByEndpoint counts the requests at each endpoint, including attempts in progress.
-func (s *Server) requestsByEndpoint() map[string]int {
-	counts := make(map[string]int)
-	for _, request := range s.Proxy.Requests.List() {
-		if request.Stage != registry.StageWaiting {
-			counts[s.Proxy.Endpoints.Name(request.Endpoint)]++
-		}
+func (s *Server) requestsByEndpoint(ctx context.Context) map[string]int {
+	if s.Requests != nil {
+		return s.Requests(ctx)
 	}
-	return counts
+	return s.Proxy.RequestsByEndpoint()
 }
 
 // requests shows the requests in progress.
--- a/internal/hotrestart/channel.go
+++ b/internal/hotrestart/channel.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -23,8 +24,14 @@
 	descriptorSize = 4 // bytes of a descriptor in a control message
 )
 
-// channel is a Unix socket connection between predecessor and successor.
-type channel struct{ *net.UnixConn }
+// channel is a Unix socket connection between predecessor and successor. Several
+// goroutines may send at the same time, but only one may receive.
+type channel struct {
+	*net.UnixConn
+	sending *sync.Mutex // held while a message is written
+}
+
+func newChannel(conn *net.UnixConn) channel { return channel{UnixConn: conn, sending: new(sync.Mutex)} }
 
 // checkPeerUser returns errOtherUser if the peer runs as another user.
 func (c channel) checkPeerUser() error {
@@ -55,6 +62,8 @@
 	data := binary.BigEndian.AppendUint32(make([]byte, 0, headerSize+len(text)), uint32(len(text)))
 	data = append(data, byte(kind), byte(len(sockets)))
 	data = append(data, text...)
+	c.sending.Lock()
+	defer c.sending.Unlock()
 	c.SetWriteDeadline(time.Now().Add(timeout))
 	return withDescriptors(sockets, nil, func(descriptors []int) error {
 		var rights []byte
@@ -134,7 +143,7 @@
 		return err
 	}
 	if n == 0 {
-		return net.ErrClosed
+		return io.EOF
 	}
 	if _, err := io.ReadFull(source, header[n:]); err != nil {
 		return err
--- a/internal/hotrestart/channel_test.go
+++ b/internal/hotrestart/channel_test.go
@@ -25,7 +25,7 @@
 				t.Fatal(err)
 			}
 			_ = file.Close()
-			ends[i] = channel{conn.(*net.UnixConn)}
+			ends[i] = newChannel(conn.(*net.UnixConn))
 			defer conn.Close()
 		}
 		if encoded == nil {
--- a/internal/hotrestart/doc.go
+++ b/internal/hotrestart/doc.go
@@ -9,10 +9,12 @@
 // The steps of a takeover are:
 //
 //  1. The successor connects and sends a hello.
-//  2. The predecessor offers its state and its listening sockets.
+//  2. The predecessor offers its state and its listening sockets. It sends its
+//     current state again whenever that changes.
 //  3. The successor, once ready, announces that it takes over.
-//  4. The predecessor stops accepting and confirms that.
-//  5. The successor accepts clients.
+//  4. The predecessor stops accepting and confirms that, with its current state.
+//  5. The successor accepts clients. The predecessor passes orders on to it with
+//     Call.
 //  6. When the predecessor shuts down, it hands off its established connections
 //     one by one, and the successor acknowledges or declines each.
 //
--- a/internal/hotrestart/handover_test.go
+++ b/internal/hotrestart/handover_test.go
@@ -25,6 +25,7 @@
 	clientListener *net.TCPListener
 	pauses         atomic.Int32 // calls of SetPaused with true, less those with false
 	fails          atomic.Bool
+	current        atomic.Int64 // the state of CurrentState
 }
 
 func (h *fakeHandler) Offer(context.Context) (*Offer, []syscall.Conn, error) {
@@ -47,6 +48,16 @@
 	}
 }
 
+func (h *fakeHandler) CurrentState() any { return h.current.Load() }
+
+// echoCall returns a call's argument, or an error if the method is fail.
+func echoCall(_ context.Context, method Method, argument json.RawMessage) (any, error) {
+	if method == "fail" {
+		return nil, errors.New("it failed")
+	}
+	return argument, nil
+}
+
 // startPredecessor runs a predecessor until the test's end.
 func startPredecessor(t *testing.T) (*Predecessor, *fakeHandler) {
 	t.Helper()
@@ -141,12 +152,13 @@
 		t.Error("BeginShutdown reports that connections are not to be handed off")
 	}
 	adopted := make(chan net.Conn, 1)
-	go successor.Adopt(context.Background(), func(payload json.RawMessage, sockets []net.Conn) (func(), error) {
+	prepare := func(payload json.RawMessage, sockets []net.Conn) (func(), error) {
 		if string(payload) != `"wanted"` || len(sockets) != 1 {
 			return nil, errors.New("unexpected payload or sockets")
 		}
 		return func() { adopted <- sockets[0] }, nil
-	})
+	}
+	go func() { _ = successor.Adopt(context.Background(), prepare, nil) }()
 	if err := predecessor.HandOff("unwanted", near.(syscall.Conn)); !errors.Is(err, errDeclined) {
 		t.Errorf("handoff of a declined connection: got %v, want errDeclined", err)
 	}
@@ -213,7 +225,7 @@
 		if !afterTakeOver && successor.TakeOver() == nil {
 			t.Error("TakeOver succeeded without a predecessor")
 		}
-		successor.Adopt(context.Background(), nil) // ends at once
+		_ = successor.Adopt(context.Background(), nil, nil) // ends at once
 		if !successor.MayAccept() || len(successor.Listeners) != 1 {
 			t.Error("the successor may not accept, or lacks its listener")
 		}
--- a/internal/hotrestart/messages.go
+++ b/internal/hotrestart/messages.go
@@ -26,10 +26,13 @@
 	kindOffer                             // predecessor: its state and listening sockets
 	kindReject                            // predecessor: the reason why it makes no offer
 	kindTakeOver                          // successor: it is ready to take over
-	kindPaused                            // predecessor: it has stopped accepting
+	kindPaused                            // predecessor: it has stopped accepting; its current state
 	kindConnection                        // predecessor: an established connection with its sockets
 	kindAck                               // successor: it serves the connection with this number
 	kindNack                              // successor: it declines the connection with this number
+	kindState                             // predecessor: its current state, which has changed since the offer
+	kindCall                              // predecessor: a call for the successor
+	kindResult                            // successor: the result of the call with this number
 )
 
 // Errors of the exchange between the two processes.
@@ -40,10 +43,27 @@
 	errDeclined  = errors.New("hotrestart: successor declined the connection")
 )
 
+// Errors of Predecessor.Call.
+var (
+	// ErrNoSuccessor means that no successor has taken over: this process serves.
+	ErrNoSuccessor = errors.New("hotrestart: no successor has taken over")
+	// ErrCallsUnsupported means that the successor is of a release without calls.
+	ErrCallsUnsupported = errors.New("hotrestart: successor does not support calls")
+	// ErrSuccessorLost means that the connection ended before the result arrived.
+	ErrSuccessorLost = errors.New("hotrestart: successor lost during a call")
+)
+
+// CallError is an error that the successor returned for a call.
+type CallError struct{ Text string }
+
+// Error returns the successor's text.
+func (e *CallError) Error() string { return e.Text }
+
 // helloMessage identifies a successor.
 type helloMessage struct {
-	Version int `json:"Format"`
-	PID     int `json:"PID"`
+	Version      int  `json:"Format"`
+	PID          int  `json:"PID"`
+	AcceptsCalls bool `json:"Calls,omitempty"` // it understands calls and states; false in earlier releases
 }
 
 // Offer is the state that a predecessor passes to its successor.
@@ -60,6 +80,24 @@
 	Payload json.RawMessage `json:"What"`
 }
 
+// Method names what a call asks for. The caller of this package defines the methods.
+type Method string
+
+// callMessage is a call for the successor.
+type callMessage struct {
+	Number   int             `json:"Number"` // identifies the call in its result
+	Method   Method          `json:"Method"`
+	Argument json.RawMessage `json:"Argument"`
+	Timeout  time.Duration   `json:"Timeout"` // within which the predecessor needs the result
+}
+
+// resultMessage is the result of a call.
+type resultMessage struct {
+	Number int             `json:"Number"`
+	Error  string          `json:"Error,omitempty"` // "": the call succeeded
+	Result json.RawMessage `json:"Result,omitempty"`
+}
+
 // expect returns an error unless the message is of the given kind. For a rejection,
 // the error contains the predecessor's reason.
 func (m *message) expect(kind messageKind) error {
--- a/internal/hotrestart/messages_test.go
+++ b/internal/hotrestart/messages_test.go
@@ -33,7 +33,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { conn.Close() })
-		return channel{conn.(*net.UnixConn)}
+		return newChannel(conn.(*net.UnixConn))
 	}
 	return end(fds[0]), end(fds[1])
 }
@@ -104,9 +104,23 @@
 }
 
 func TestHelloKeepsItsEncoding(t *testing.T) {
-	complete := helloMessage{Version: 1, PID: 4711}
+	complete := helloMessage{Version: 1, PID: 4711, AcceptsCalls: true}
 	testutil.RequireComplete(t, complete)
-	checkFrame(t, "testdata/hello.frame", kindHello, complete)
+	checkFrame(t, "testdata/hello-calls.frame", kindHello, complete)
+	checkFrame(t, "testdata/hello.frame", kindHello, helloMessage{Version: 1, PID: 4711}) // of releases without calls
+}
+
+func TestCallsKeepTheirEncoding(t *testing.T) {
+	call := callMessage{Number: 5, Method: "orders", Argument: json.RawMessage(`{"Revision":3}`), Timeout: 750 * time.Millisecond}
+	result := resultMessage{Number: 5, Error: "unknown", Result: json.RawMessage(`{"Changes":[]}`)}
+	for _, complete := range []any{call, result} {
+		testutil.RequireComplete(t, complete)
+	}
+	checkFrame(t, "testdata/call.frame", kindCall, call)
+	checkFrame(t, "testdata/result.frame", kindResult, result)
+	checkFrame(t, "testdata/result-success.frame", kindResult, resultMessage{Number: 6, Result: json.RawMessage("null")})
+	checkFrame(t, "testdata/state.frame", kindState, map[string]any{"ReloadedAt": "x"})
+	checkFrame(t, "testdata/go-state.frame", kindPaused, map[string]any{"ReloadedAt": "x"})
 }
 
 // Peers of another version are rejected, so the version may change only together with the encoding.
@@ -156,7 +170,7 @@
 }
 
 func TestMessageFieldsAreTagged(t *testing.T) {
-	for _, message := range []any{helloMessage{}, Offer{}, connectionMessage{}} {
+	for _, message := range []any{helloMessage{}, Offer{}, connectionMessage{}, callMessage{}, resultMessage{}} {
 		testutil.RequireTags(t, []string{"json"}, message)
 	}
 }
--- a/internal/hotrestart/predecessor.go
+++ b/internal/hotrestart/predecessor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -39,6 +38,10 @@
 	// SetPaused makes the relay stop accepting clients and spending the slow-start
 	// budget while a successor serves (true), or resume both (false).
 	SetPaused(bool)
+	// CurrentState returns the part of the state that may change after the offer. A
+	// successor receives it after the offer, at each PublishState until the takeover,
+	// and with the confirmation of the takeover.
+	CurrentState() any
 }
 
 // Predecessor is the running process's side of a hot restart.
@@ -47,14 +50,15 @@
 	handler Handler
 	log     *slog.Logger
 
-	mu               sync.Mutex // guards the fields up to handOffMu
-	state            PredecessorState
-	peer             channel
-	acknowledgements chan *message // for connections handed off to peer; closed once the peer is lost
-	lastNumber       int           // of the last connection handed off
-	listener         *net.UnixListener
+	mu         sync.Mutex // guards the fields up to handOffMu
+	state      PredecessorState
+	peer       *peer // nil: there is no successor
+	lastNumber int   // of the last connection handed off, or of the last call
+	listener   *net.UnixListener
+	paused     bool // the last argument of the handler's SetPaused
 
 	handOffMu sync.Mutex // held while a connection is handed off; locked before mu
+	publishMu sync.Mutex // held while a state is sent, so that the latest is sent last; locked before mu
 }
 
 // NewPredecessor returns a predecessor whose Serve listens at a path from
@@ -80,7 +84,7 @@
 		reopened := listener != p.currentListener()
 		switch {
 		case err == nil:
-			peers.Go(func() { p.servePeer(ctx, channel{conn}) })
+			peers.Go(func() { p.servePeer(ctx, newChannel(conn)) })
 		case ctx.Err() != nil:
 			return nil
 		case reopened: // continue with the new listener
@@ -130,7 +134,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.listener.Close()
-	if p.peer.UnixConn != nil {
+	if p.peer != nil {
 		p.peer.Close()
 	}
 }
@@ -143,64 +147,89 @@
 		p.log.Warn("hot restart peer rejected", "error", err)
 		return
 	}
-	hello, accepted := p.acceptPeer(conn)
-	if !accepted {
+	received, err := conn.receive(time.Now().Add(messageTimeout))
+	if err != nil {
 		return
 	}
-	err := p.runTakeover(ctx, conn)
-	resume, shuttingDown := p.peerLost()
-	if ctx.Err() != nil {
+	received.closeFiles()
+	successor := p.acceptPeer(conn, received)
+	if successor == nil {
 		return
 	}
-	p.log.Warn("hot restart successor lost", "pid", hello.PID, "error", err, "leaving", shuttingDown)
-	if !resume {
+	err = p.runTakeover(ctx, successor)
+	resume, shuttingDown := p.peerLost(successor)
+	if ctx.Err() != nil {
 		return
 	}
-	p.handler.SetPaused(false)
-	if err := p.listen(); err != nil { // the successor had replaced the socket
-		p.log.Warn("hot restart socket unavailable", "error", err)
+	p.log.Warn("hot restart successor lost", "pid", successor.pid, "error", err, "leaving", shuttingDown)
+	if resume {
+		p.resume()
 	}
 }
 
-// acceptPeer reads a successor's hello, and reports whether the successor becomes
-// the peer. If not, it sends it the reason.
-func (p *Predecessor) acceptPeer(conn channel) (hello helloMessage, accepted bool) {
-	received, err := conn.receive(time.Now().Add(messageTimeout))
-	if err != nil {
-		return hello, false
-	}
-	defer received.closeFiles()
+// acceptPeer returns the successor that has sent a hello, or nil if it does not
+// become the peer. It sends it the reason then.
+func (p *Predecessor) acceptPeer(conn channel, received *message) *peer {
+	var hello helloMessage
 	if received.kind != kindHello || received.decode(&hello) != nil {
 		_ = conn.send(messageTimeout, kindReject, "a hello was expected") // the other process may have exited
-		return hello, false
-	}
-	p.mu.Lock()
-	accepted = p.state.AcceptPeer(hello.Version)
-	if accepted {
-		p.peer, p.acknowledgements = conn, make(chan *message, 1)
+		return nil
 	}
-	p.mu.Unlock()
-	if !accepted {
+	successor := newPeer(conn, hello.PID, hello.AcceptsCalls)
+	if !p.setPeer(successor, hello.Version) {
 		_ = conn.send(messageTimeout, kindReject, fmt.Sprintf("format %d against %d, or another new process is there", hello.Version, ProtocolVersion))
 		p.log.Warn("hot restart successor rejected", "pid", hello.PID, "format", hello.Version)
+		return nil
+	}
+	return successor
+}
+
+// setPeer makes a process the successor, unless there is one or it is of another
+// version.
+func (p *Predecessor) setPeer(successor *peer, version int) (accepted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.state.AcceptPeer(version) {
+		return false
 	}
-	return hello, accepted
+	p.peer = successor
+	return true
 }
 
 // peerLost records that the peer is lost. It reports whether this process has to
 // resume accepting, and whether it is shutting down.
-func (p *Predecessor) peerLost() (resume, shuttingDown bool) {
+func (p *Predecessor) peerLost(successor *peer) (resume, shuttingDown bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	resume = p.state.PeerLost()
-	p.peer = channel{}
-	close(p.acknowledgements)
+	p.peer = nil
+	close(successor.lost)
 	return resume, p.state.shuttingDown
 }
 
+// resume makes the relay accept clients again after the loss of its successor.
+func (p *Predecessor) resume() {
+	p.setPaused(false)
+	if err := p.listen(); err != nil { // the successor had replaced the socket
+		p.log.Warn("hot restart socket unavailable", "error", err)
+	}
+}
+
+// setPaused pauses or resumes the relay unless that is its state already. It is called
+// by the goroutine that serves the peer.
+func (p *Predecessor) setPaused(paused bool) {
+	p.mu.Lock()
+	changed := p.paused != paused
+	p.paused = paused
+	p.mu.Unlock()
+	if changed {
+		p.handler.SetPaused(paused)
+	}
+}
+
 // runTakeover runs a takeover, and returns once the successor is lost.
-func (p *Predecessor) runTakeover(ctx context.Context, conn channel) error {
-	if err := p.offer(ctx, conn); err != nil {
+func (p *Predecessor) runTakeover(ctx context.Context, successor *peer) error {
+	if err := p.offer(ctx, successor); err != nil {
 		return err
 	}
 	p.mu.Lock()
@@ -209,25 +238,29 @@
 	if !takenOver {
 		return errProtocol
 	}
-	p.handler.SetPaused(true)
-	if err := conn.send(messageTimeout, kindPaused, nil); err != nil {
+	p.setPaused(true)
+	if err := p.confirmPaused(successor); err != nil {
 		return err
 	}
 	p.log.Info("hot restart successor took over")
-	return p.receiveAcknowledgements(ctx, conn)
+	return successor.receiveAnswers(ctx)
 }
 
 // offer sends the offer, and waits until the successor announces that it takes over.
-func (p *Predecessor) offer(ctx context.Context, conn channel) error {
+func (p *Predecessor) offer(ctx context.Context, successor *peer) error {
 	offer, listeners, err := p.handler.Offer(ctx)
 	if err != nil {
-		_ = conn.send(messageTimeout, kindReject, err.Error()) // the successor may have exited
+		_ = successor.send(messageTimeout, kindReject, err.Error()) // the successor may have exited
 		return err
 	}
-	if err := conn.send(messageTimeout, kindOffer, offer, listeners...); err != nil {
+	if err := successor.send(messageTimeout, kindOffer, offer, listeners...); err != nil {
 		return err
 	}
-	received, err := conn.receive(time.Now().Add(startupTimeout))
+	p.mu.Lock()
+	successor.offered = true
+	p.mu.Unlock()
+	p.PublishState() // it may have changed since Offer was called
+	received, err := successor.receive(time.Now().Add(startupTimeout))
 	if err != nil {
 		return err
 	}
@@ -235,23 +268,32 @@
 	return received.expect(kindTakeOver)
 }
 
-// receiveAcknowledgements passes acknowledgements to HandOff until the successor's
-// connection or ctx ends.
-func (p *Predecessor) receiveAcknowledgements(ctx context.Context, conn channel) error {
-	for {
-		received, err := conn.receive(time.Time{})
-		if err != nil {
-			return err
-		}
-		received.closeFiles()
-		if received.kind != kindAck && received.kind != kindNack {
-			return errProtocol
-		}
-		select {
-		case p.acknowledgements <- received:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+// confirmPaused confirms to the successor that this process accepts no more.
+func (p *Predecessor) confirmPaused(successor *peer) error {
+	p.publishMu.Lock()
+	defer p.publishMu.Unlock()
+	if err := successor.send(messageTimeout, kindPaused, p.handler.CurrentState()); err != nil {
+		return err
+	}
+	close(successor.serving)
+	return nil
+}
+
+// PublishState sends the current state to a successor that has received the offer and
+// has not taken over yet. It is to be called after each change of that state. It may
+// be called from any goroutine.
+func (p *Predecessor) PublishState() {
+	p.publishMu.Lock()
+	defer p.publishMu.Unlock()
+	p.mu.Lock()
+	successor, takenOver := p.peer, p.state.takenOver
+	wanted := successor != nil && successor.offered && successor.acceptsCalls && !takenOver
+	p.mu.Unlock()
+	if !wanted {
+		return
+	}
+	if err := successor.send(messageTimeout, kindState, p.handler.CurrentState()); err != nil {
+		successor.Close() // it ignores an incomplete message
 	}
 }
 
@@ -264,56 +306,3 @@
 	p.state.BeginShutdown()
 	return p.state.MayHandOff()
 }
-
-// HandOff hands off a connection, with its sockets and a payload that describes it,
-// and waits up to a second for the acknowledgement. If it returns nil, the caller
-// must neither read from nor write to the connection any more; after an error, the
-// caller still owns it. It may be called from any goroutine, and hands off one
-// connection at a time.
-func (p *Predecessor) HandOff(payload any, sockets ...syscall.Conn) error {
-	text, err := json.Marshal(payload)
-	if err != nil {
-		return err
-	}
-	p.handOffMu.Lock()
-	defer p.handOffMu.Unlock()
-	p.mu.Lock()
-	permitted, peer, acknowledgements := p.state.MayHandOff(), p.peer, p.acknowledgements
-	p.lastNumber++
-	number := p.lastNumber
-	p.mu.Unlock()
-	if !permitted {
-		return errNoPeer
-	}
-	if err := peer.send(messageTimeout, kindConnection, connectionMessage{number, text}, sockets...); err != nil {
-		peer.Close() // the successor ignores an incomplete message
-		return err
-	}
-	return p.awaitAcknowledgement(peer, acknowledgements, number)
-}
-
-// awaitAcknowledgement waits for the acknowledgement of a connection. It returns nil
-// if the successor owns the connection, or after a timeout, when it may own it.
-func (p *Predecessor) awaitAcknowledgement(peer channel, acknowledgements <-chan *message, number int) error {
-	for timeout := time.After(messageTimeout); ; {
-		select {
-		case received, open := <-acknowledgements:
-			if !open {
-				return errNoPeer
-			}
-			var acknowledged int
-			if received.decode(&acknowledged) != nil || acknowledged != number {
-				continue
-			}
-			if received.kind == kindNack {
-				return errDeclined
-			}
-			return nil
-		case <-timeout:
-			// The successor may still adopt the connection. If both processes served it, its data would be corrupted.
-			p.log.Warn("hot restart successor did not acknowledge a connection in time, ending the handoff")
-			peer.Close() // so that the remaining connections are migrated, without a timeout for each
-			return nil
-		}
-	}
-}
--- a/internal/hotrestart/successor.go
+++ b/internal/hotrestart/successor.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -14,6 +16,9 @@
 type Successor struct {
 	Offer     *Offer
 	Listeners []net.Listener // in the order of Offer.ListenerNames
+	// State is the latest state from Handler.CurrentState that the predecessor has sent by the end of
+	// TakeOver, whether that succeeded or not. nil: it has sent none.
+	State json.RawMessage
 
 	channel channel
 
@@ -36,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	successor := &Successor{channel: channel{conn.(*net.UnixConn)}}
+	successor := &Successor{channel: newChannel(conn.(*net.UnixConn))}
 	if err := successor.receiveOffer(version); err != nil {
 		successor.Close()
 		for _, listener := range successor.Listeners {
@@ -53,7 +58,7 @@
 	if err := s.channel.checkPeerUser(); err != nil {
 		return err
 	}
-	if err := s.channel.send(messageTimeout, kindHello, helloMessage{version, os.Getpid()}); err != nil {
+	if err := s.channel.send(messageTimeout, kindHello, helloMessage{Version: version, PID: os.Getpid(), AcceptsCalls: true}); err != nil {
 		return err
 	}
 	received, err := s.channel.receive(time.Now().Add(messageTimeout))
@@ -104,17 +109,27 @@
 }
 
 // requestTakeOver announces that this process takes over, and waits until the
-// predecessor confirms that it has paused.
+// predecessor confirms that it has paused. It reads what the predecessor has sent
+// even if that has exited.
 func (s *Successor) requestTakeOver() error {
-	if err := s.channel.send(messageTimeout, kindTakeOver, nil); err != nil {
-		return err
-	}
-	received, err := s.channel.receive(time.Now().Add(messageTimeout))
-	if err != nil {
-		return err
+	sendErr := s.channel.send(messageTimeout, kindTakeOver, nil)
+	deadline := time.Now().Add(messageTimeout)
+	for {
+		received, err := s.channel.receive(deadline)
+		if err != nil {
+			return errors.Join(sendErr, err)
+		}
+		received.closeFiles()
+		if received.kind != kindState && received.kind != kindPaused {
+			return received.expect(kindPaused)
+		}
+		if string(received.body) != "null" { // earlier releases send no state
+			s.State = received.body
+		}
+		if received.kind == kindPaused {
+			return nil
+		}
 	}
-	defer received.closeFiles()
-	return received.expect(kindPaused)
 }
 
 // MayAccept reports whether this process may accept clients. It may be called from
@@ -125,29 +140,52 @@
 	return s.state.MayAccept()
 }
 
-// Adopt adopts connections until the predecessor's connection or ctx ends. It
-// calls prepare for one connection at a time.
-func (s *Successor) Adopt(ctx context.Context, prepare AdoptFunc) {
+// Adopt adopts connections and answers calls until the predecessor's connection or
+// ctx ends. It calls prepare for one connection at a time, and answer for one call at
+// a time, on another goroutine. It returns nil if the predecessor ended the
+// connection.
+func (s *Successor) Adopt(ctx context.Context, prepare AdoptFunc, answer CallFunc) error {
 	defer context.AfterFunc(ctx, func() { s.channel.Close() })()
 	defer s.Close()
+	calls := s.startAnswering(ctx, answer)
+	defer calls.stop()
 	for {
 		received, err := s.channel.receive(time.Time{})
+		if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+			return nil
+		}
 		if err != nil {
-			return
+			return err
 		}
-		if !s.adoptConnection(received, prepare) {
-			return
+		if err := s.handle(received, prepare, calls); err != nil {
+			return err
 		}
 	}
 }
 
-// adoptConnection adopts one connection, and acknowledges or declines it. It returns
-// false if no further connection can be received.
-func (s *Successor) adoptConnection(received *message, prepare AdoptFunc) bool {
+// handle handles a message. After an error no further message can be received.
+func (s *Successor) handle(received *message, prepare AdoptFunc, calls *callQueue) error {
+	switch received.kind {
+	case kindConnection:
+		return s.adoptConnection(received, prepare)
+	case kindCall:
+		received.closeFiles()
+		var call callMessage
+		if err := received.decode(&call); err != nil {
+			return err
+		}
+		return calls.add(call)
+	}
+	received.closeFiles()
+	return errProtocol
+}
+
+// adoptConnection adopts one connection, and acknowledges or declines it.
+func (s *Successor) adoptConnection(received *message, prepare AdoptFunc) error {
 	defer received.closeFiles() // net.FileConn has duplicated them
 	var connection connectionMessage
-	if received.kind != kindConnection || received.decode(&connection) != nil {
-		return false
+	if err := received.decode(&connection); err != nil {
+		return err
 	}
 	sockets, err := received.connections()
 	var serve func()
@@ -156,14 +194,14 @@
 	}
 	if err != nil {
 		closeConnections(sockets)
-		return s.channel.send(messageTimeout, kindNack, connection.Number) == nil
+		return s.channel.send(messageTimeout, kindNack, connection.Number)
 	}
-	if s.channel.send(messageTimeout, kindAck, connection.Number) != nil {
+	if err := s.channel.send(messageTimeout, kindAck, connection.Number); err != nil {
 		closeConnections(sockets) // the predecessor still owns the connection
-		return false
+		return err
 	}
 	go serve() // the caller that provides prepare waits for its end
-	return true
+	return nil
 }
 
 // connections returns connections from the descriptors of a message. If some fail,
--- a/internal/persistence/persistence.go
+++ b/internal/persistence/persistence.go
@@ -50,6 +50,11 @@
 	return !d.Until.IsZero() && !now.Before(d.Until)
 }
 
+// Equal reports whether two directives are the same.
+func (d *DrainDirective) Equal(other *DrainDirective) bool {
+	return d.Endpoint == other.Endpoint && d.By == other.By && d.Reason == other.Reason && d.Since.Equal(other.Since) && d.Until.Equal(other.Until)
+}
+
 // RelaySnapshot is the state of a relay at a time: its endpoint list, and the balancer's routes, weights and loads.
 // Times in Balancer are readings of the proxy's clock.
 type RelaySnapshot struct {
--- a/internal/proxy/snapshot.go
+++ b/internal/proxy/snapshot.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"lockroad/balancer"
+	"lockroad/internal/registry"
 )
 
 // Snapshot returns the balancer's learned state, for another process to restore. It fails
@@ -35,3 +36,15 @@
 func (p *Proxy) SetSlowStartShare(share float64) {
 	p.loop.Report(balancer.SetSlowStartShare{Share: share})
 }
+
+// RequestsByEndpoint counts the requests at each endpoint, by name, including attempts in
+// progress.
+func (p *Proxy) RequestsByEndpoint() map[string]int {
+	counts := make(map[string]int)
+	for _, request := range p.Requests.List() {
+		if request.Stage != registry.StageWaiting {
+			counts[p.Endpoints.Name(request.Endpoint)]++
+		}
+	}
+	return counts
+}
--- a/internal/server/hotrestart.go
+++ b/internal/server/hotrestart.go
@@ -24,12 +24,15 @@
 // predecessor. Package hotrestart implements the protocol between them; this file has the state that is handed
 // over. A process is the successor while it starts and the predecessor afterwards.
 
-// predecessorExitTimeout is how long a successor waits for the predecessor to release its console socket and its
-// store.
-const predecessorExitTimeout = 5 * time.Second
-
-// resolveTimeout limits how long the name in a listen address may take to resolve.
-const resolveTimeout = time.Second
+const (
+	// predecessorExitTimeout is how long a successor waits for the predecessor to release its console socket and its
+	// store before it reports that.
+	predecessorExitTimeout = 5 * time.Second
+	// consoleRetryInterval is the time between two attempts to open the console's socket.
+	consoleRetryInterval = 100 * time.Millisecond
+	// resolveTimeout limits how long the name in a listen address may take to resolve.
+	resolveTimeout = time.Second
+)
 
 // handoffState is the state that a predecessor sends to its successor. The two may be of different versions, so
 // the JSON keys must not change.
@@ -206,6 +209,10 @@
 		r.limiters[i].ReserveSlots(slots)
 	}
 	err := r.asSuccessor.TakeOver()
+	r.applyPredecessorState(err == nil)
+	if err != nil {
+		r.persistence.openBeforeServing(ctx, r.operator.Store)
+	}
 	r.proxy.SetSlowStartShare(1)
 	for _, f := range r.frontends {
 		f.Resume()
@@ -217,9 +224,7 @@
 	r.log.Info("took over from predecessor", "transactions there", len(r.inherited.OpenRequests))
 	go func() {
 		defer r.releasePredecessor()
-		r.asSuccessor.Adopt(ctx, func(payload json.RawMessage, sockets []net.Conn) (func(), error) {
-			return r.adoptRequest(ctx, payload, sockets)
-		})
+		r.adoptFrom(ctx, r.asSuccessor)
 	}()
 	return nil
 }
@@ -244,34 +249,33 @@
 	close(r.predecessorGone)
 }
 
-// listenConsoleAfterPredecessor opens the console's socket once the predecessor has exited. It retries, because
-// the predecessor closes its connection to this process shortly before its console. Both results are nil if ctx
-// is cancelled before the predecessor has exited.
-func (r *relay) listenConsoleAfterPredecessor(ctx context.Context, path string) (consoleListener net.Listener, err error) {
-	select {
-	case <-ctx.Done():
-		return nil, nil
-	case <-r.predecessorGone:
-	}
-	select {
-	case <-ctx.Done():
-		return nil, nil
-	case <-r.persistence.storeSettled: // the console accepts drain directives only once they can be saved
-	}
-	retryUntilReleased(ctx, func() bool {
-		consoleListener, err = console.Listen(path)
-		return err == nil
-	})
-	return consoleListener, err
-}
-
-// retryUntilReleased calls attempt, at least once, until it returns true, ctx is cancelled or
-// predecessorExitTimeout has passed. It is for acquiring a resource that the exiting predecessor may still hold.
-func retryUntilReleased(ctx context.Context, attempt func() bool) {
-	deadline := time.Now().Add(predecessorExitTimeout)
-	for !attempt() && ctx.Err() == nil && !time.Now().After(deadline) {
-		sleep(ctx, predecessorExitTimeout/50)
+// listenConsoleAfterPredecessor opens the console's socket once the predecessor has exited. It keeps trying as long
+// as that fails: an older process of this relay may still hold the socket. It returns nil if ctx is cancelled before
+// it succeeds.
+func (r *relay) listenConsoleAfterPredecessor(ctx context.Context, path string) net.Listener {
+	for _, condition := range []<-chan struct{}{
+		r.predecessorGone,
+		r.persistence.storeSettled, // the console accepts drain directives only once they can be saved
+	} {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-condition:
+		}
 	}
+	begun, reported := time.Now(), false
+	for ctx.Err() == nil {
+		consoleListener, err := console.Listen(path)
+		if err == nil {
+			return consoleListener
+		}
+		if !reported && time.Since(begun) > predecessorExitTimeout {
+			reported = true
+			r.log.Error("failed to open console socket, retrying", "error", err)
+		}
+		sleep(ctx, consoleRetryInterval)
+	}
+	return nil
 }
 
 // Offer returns the state for a successor and the sockets of this process's listeners. It is called by
@@ -333,6 +337,9 @@
 		slowStartShare, memoryShare = 0, halfProcess
 	}
 	r.ready.Store(!paused && !r.shuttingDown.Load())
+	if paused || !r.shuttingDown.Load() {
+		r.handedOver.Store(paused)
+	}
 	r.proxy.SetSlowStartShare(slowStartShare)
 	r.limitMemory(memoryShare)
 }
--- a/internal/server/persistentstate.go
+++ b/internal/server/persistentstate.go
@@ -23,12 +23,18 @@
 	relay   *relay
 	archive *archive // nil: explanations are not saved
 
-	mu         sync.Mutex // guards the next three fields; held while a directive is committed, which serializes commits
+	changeMu     sync.Mutex // held while a directive is changed, passed on and committed; locked before mu
+	resendNeeded bool       // the successor may have other directives; guarded by changeMu
+
+	mu         sync.Mutex // guards the fields up to inSync
 	store      *store.Store
 	storeErr   error                                 // why store is nil
 	directives map[string]persistence.DrainDirective // in force, by endpoint name
+	revision   uint64                                // of directives, see directiveState
+	inSync     bool                                  // the predecessor has passed on all changes of its directives
 
-	storeSettled chan struct{} // closed once opening the store has succeeded or failed
+	settleOnce   sync.Once     // guards closing storeSettled
+	storeSettled chan struct{} // closed once opening the store has succeeded, failed or taken too long
 }
 
 var (
@@ -65,26 +71,30 @@
 	}
 }
 
+// markOutOfSync records that the predecessor may have changed its directives without passing that on.
+func (p *persistentState) markOutOfSync() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inSync = false
+}
+
 // run expires directives and saves snapshots periodically until ctx is cancelled. In a successor it opens the
 // store once the predecessor has released it.
 func (p *persistentState) run(ctx context.Context, settings config.Store) error {
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
-	predecessorGone := p.relay.predecessorGone
+	opening := &storeOpening{state: p, settings: settings}
 	if settings.Dir == "" || p.relay.asSuccessor == nil {
-		predecessorGone = nil // nothing to wait for
-		close(p.storeSettled)
+		opening.done = true // nothing to wait for
+		p.settleStore()
 	}
 	nextSnapshot := time.Now().Add(snapshotInterval)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-predecessorGone:
-			predecessorGone = nil
-			p.openAfterPredecessor(ctx, settings)
-			p.reconcileDirectives()
-			close(p.storeSettled)
+		case <-opening.nextAttempt(p.relay.predecessorGone):
+			opening.attempt(ctx)
 		case now := <-ticker.C:
 			p.expireDirectives(ctx, now)
 			if now.After(nextSnapshot) {
@@ -95,17 +105,28 @@
 	}
 }
 
-// openAfterPredecessor opens the store after the predecessor has exited. It waits at most predecessorExitTimeout
-// for the predecessor to release the store's lock.
-func (p *persistentState) openAfterPredecessor(ctx context.Context, settings config.Store) {
-	retryUntilReleased(ctx, func() bool {
-		lock, err := store.Dir(settings.Dir).Lock()
-		if err == nil {
-			_ = lock.Close()
-		}
-		return !errors.Is(err, store.ErrLocked)
-	})
-	p.open(settings)
+// openBeforeServing opens the store of a predecessor that is lost before this process admits clients, so that its
+// last directives are in force. It gives up soon: the predecessor may still run.
+func (p *persistentState) openBeforeServing(ctx context.Context, settings config.Store) {
+	if settings.Dir == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, lostPredecessorWait)
+	defer cancel()
+	opening := &storeOpening{state: p, settings: settings}
+	for !opening.done && ctx.Err() == nil {
+		opening.attempt(ctx)
+		sleep(ctx, storeRetryInterval)
+	}
+}
+
+// settleStore closes storeSettled.
+func (p *persistentState) settleStore() { p.settleOnce.Do(func() { close(p.storeSettled) }) }
+
+func (p *persistentState) isOpen() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.store != nil
 }
 
 // close writes queued records and closes the store.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -72,6 +72,7 @@
 
 	ready          atomic.Bool // new clients are admitted
 	shuttingDown   atomic.Bool
+	handedOver     atomic.Bool        // a successor serves the clients, or did when the shutdown began
 	reloadRequests chan reloadRequest // from the console
 
 	shutdownOnce      sync.Once     // guards closing shutdownRequested
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -65,6 +65,7 @@
 		Reload:      r.requestReload,
 		LogTail:     r.options.LogTail,
 		Restart:     r.requestRestart,
+		Requests:    r.requestsByEndpoint,
 	}
 	if r.prober != nil {
 		server.Health = r.prober.Health
@@ -82,14 +83,10 @@
 }
 
 // serveConsole serves the console on consoleListener. If consoleListener is nil, it first waits until the
-// predecessor has released the socket. The relay keeps running if the socket can't be opened.
+// predecessor has released the socket. The relay keeps running while the socket can't be opened.
 func (r *relay) serveConsole(ctx context.Context, server *console.Server, consoleListener net.Listener) error {
 	if consoleListener == nil {
-		var err error
-		if consoleListener, err = r.listenConsoleAfterPredecessor(ctx, r.operator.Console.Socket); err != nil {
-			r.log.Error("failed to open console socket", "error", err)
-		}
-		if consoleListener == nil {
+		if consoleListener = r.listenConsoleAfterPredecessor(ctx, r.operator.Console.Socket); consoleListener == nil {
 			return nil
 		}
 	}
--- /dev/null
+++ b/internal/server/successorcalls.go
@@ -0,0 +1,130 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+
+	"lockroad/internal/hotrestart"
+)
+
+// While two processes of the relay run, the console belongs to the older one and the clients are served by the
+// newer. An order at the console has to be in force in both: the newer one serves, and if it is lost the older one
+// serves again. The older process passes each order on and confirms it only once the newer one has.
+
+// Methods of the calls to a successor. A successor of another release carries them out, so they must not change.
+const (
+	methodDirectives hotrestart.Method = "orders"   // put a directiveState into force
+	methodRequests   hotrestart.Method = "requests" // requestsReply
+)
+
+// currentState is the state that may change between the offer to a successor and its takeover. A successor of
+// another release reads it, so the JSON keys must not change.
+type currentState struct {
+	Directives directiveState `json:"Orders"`
+}
+
+// requestsReply is the result of methodRequests: the number of requests at each endpoint, by name.
+type requestsReply struct {
+	Requests map[string]int `json:"Requests"`
+}
+
+// Errors of orders that the process that serves could not confirm.
+var (
+	errSuccessorTooOld      = errors.New("a process of an earlier version is taking over, and accepts no orders from this one: give the order again once this process has ended")
+	errSuccessorUnreachable = errors.New("this process is ending and can't reach the one that serves the clients: give the order again in a moment")
+)
+
+// callSuccessor has the process that serves the clients carry out a call, if that is another process than this one.
+// served is false if it is this one. After an error the other process may or may not have carried out the call.
+func (r *relay) callSuccessor(ctx context.Context, method hotrestart.Method, argument, result any) (served bool, err error) {
+	if r.asPredecessor == nil {
+		return false, nil
+	}
+	err = r.asPredecessor.Call(ctx, method, argument, result)
+	var rejected *hotrestart.CallError
+	switch {
+	case err == nil:
+		return true, nil
+	case errors.Is(err, hotrestart.ErrNoSuccessor), errors.Is(err, hotrestart.ErrSuccessorLost):
+		if r.shuttingDown.Load() && r.handedOver.Load() {
+			return false, errSuccessorUnreachable
+		}
+		return false, nil
+	case errors.Is(err, hotrestart.ErrCallsUnsupported):
+		return false, errSuccessorTooOld
+	case errors.As(err, &rejected):
+		return true, errors.New(rejected.Text)
+	}
+	return true, fmt.Errorf("the process that serves the clients did not confirm this, and may have carried it out: %w", err)
+}
+
+// publishState sends currentState to a successor that is about to take over. It is called after each change.
+func (r *relay) publishState() {
+	if r.asPredecessor != nil {
+		r.asPredecessor.PublishState()
+	}
+}
+
+// CurrentState returns what may have changed since the offer. It is called by asPredecessor's goroutines.
+func (r *relay) CurrentState() any {
+	return currentState{Directives: r.persistence.directiveState()}
+}
+
+// adoptFrom adopts the connections of an older process and answers its calls, until that process has ended.
+func (r *relay) adoptFrom(ctx context.Context, older *hotrestart.Successor) {
+	err := older.Adopt(ctx, func(payload json.RawMessage, sockets []net.Conn) (func(), error) {
+		return r.adoptRequest(ctx, payload, sockets)
+	}, r.answerCall)
+	if err != nil && ctx.Err() == nil {
+		r.log.Warn("connection to the older process failed", "error", err)
+		r.persistence.markOutOfSync()
+	}
+}
+
+// answerCall carries out a call of the older process.
+func (r *relay) answerCall(ctx context.Context, method hotrestart.Method, argument json.RawMessage) (result any, err error) {
+	switch method {
+	case methodDirectives:
+		var state directiveState
+		if err := json.Unmarshal(argument, &state); err != nil {
+			return nil, err
+		}
+		return nil, r.persistence.replaceDirectives(ctx, state)
+	case methodRequests:
+		return requestsReply{Requests: r.requestsByEndpoint(ctx)}, nil
+	}
+	return nil, fmt.Errorf("unknown method %q", method)
+}
+
+// applyPredecessorState applies the last state that the predecessor has sent by the takeover, before this process
+// admits clients.
+func (r *relay) applyPredecessorState(takenOver bool) {
+	if r.asSuccessor.State == nil { // the predecessor is of an earlier release
+		return
+	}
+	var state currentState
+	if err := json.Unmarshal(r.asSuccessor.State, &state); err != nil {
+		r.log.Warn("state from predecessor rejected", "error", err)
+		return
+	}
+	r.persistence.mergeDirectives(state.Directives)
+	if !takenOver {
+		r.persistence.markOutOfSync() // the predecessor may still run and accept orders
+	}
+}
+
+// requestsByEndpoint counts the requests at each endpoint in this process and in a successor that serves.
+func (r *relay) requestsByEndpoint(ctx context.Context) map[string]int {
+	counts := r.proxy.RequestsByEndpoint()
+	var reply requestsReply
+	if served, err := r.callSuccessor(ctx, methodRequests, nil, &reply); !served || err != nil {
+		return counts
+	}
+	for endpoint, requests := range reply.Requests {
+		counts[endpoint] += requests
+	}
+	return counts
+}
