Reload the process that serves, too, when the console orders it during an upgrade

What callers saw: a reload, confirmed at the console during an upgrade, left the process that served with its old configuration. One that was applied while the successor started, its file already read, was lost.

Cause: the console belongs to the predecessor, which reloaded itself only, and nothing told the successor that its file had been replaced in force.

Change: the reload is passed on first and its result is the answer; the predecessor then reloads as well, as it serves again if the successor is lost. The state sent until the takeover has the time of the last reload.

--- a/cmd/lockroad/orders_test.go
+++ b/cmd/lockroad/orders_test.go
@@ -1,13 +1,18 @@
 package main
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
 
+	"lockroad/internal/fake"
+	"lockroad/internal/hotrestart"
 	"lockroad/internal/testutil"
 )
 
@@ -144,6 +149,63 @@
 	})
 }
 
+// A reload at the console was applied by the predecessor alone.
+func TestReloadDuringUpgradeHoldsForSuccessor(t *testing.T) {
+	eachStore(t, func(cluster *orderCluster) {
+		old, next := cluster.start(), cluster.start()
+		cluster.writeConfig(append([]fake.Class{{Name: "extra", TimeLimit: time.Second, LatencyObjective: 10 * time.Second}}, cluster.classes...))
+		cluster.order("reload --dry-run", "extra")
+		cluster.order("reload", "extra")
+		for _, p := range []*process{old, next} {
+			if n := p.metrics()["config_applied_total"]; n != 1 {
+				t.Errorf("a process has applied %d configurations, want 1", n)
+			}
+		}
+		if err := os.WriteFile(cluster.configPath, []byte("{"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cluster.order("reload", "unexpected end")
+		old.requireRunning()
+		next.requireRunning()
+	})
+}
+
+// reloadingPredecessor is a predecessor that reloads a changed configuration after its offer.
+type reloadingPredecessor struct {
+	hotrestart.Handler // only the methods below are called
+	cluster            *orderCluster
+}
+
+func (p *reloadingPredecessor) Offer(context.Context) (*hotrestart.Offer, []syscall.Conn, error) {
+	p.cluster.writeConfig(append([]fake.Class{{Name: "extra", TimeLimit: time.Second, LatencyObjective: 10 * time.Second}}, p.cluster.classes...))
+	return &hotrestart.Offer{State: json.RawMessage("{}")}, nil, nil
+}
+
+func (p *reloadingPredecessor) CurrentState() any { return map[string]any{"ReloadedAt": time.Now()} }
+func (p *reloadingPredecessor) SetPaused(bool)    {}
+
+// A reload of the predecessor while the successor started, with the configuration already read, was lost.
+func TestReloadWhileSuccessorStartsHoldsForSuccessor(t *testing.T) {
+	t.Parallel()
+	cluster := newOrderCluster(t, false)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	path := hotrestart.SocketPath(cluster.dir, "n0", cluster.lineAddress)
+	predecessor := hotrestart.NewPredecessor(path, &reloadingPredecessor{cluster: cluster}, slog.New(slog.DiscardHandler))
+	done := make(chan error, 1)
+	go func() { done <- predecessor.Serve(ctx) }()
+	testutil.Until(t, "the predecessor does not listen", func() bool { _, err := os.Stat(path); return err == nil })
+	next := cluster.start()
+	if n := next.metrics()["config_applied_total"]; n != 0 {
+		t.Errorf("the successor counts %d configurations, but it was told to apply none", n)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	cluster.order("reload --dry-run", "no changes")
+}
+
 // An order that the successor does not confirm must be refused and hold nowhere, not even once the successor runs again.
 func TestUnconfirmedOrderIsRefused(t *testing.T) {
 	t.Parallel()
--- a/cmd/lockroad/run.go
+++ b/cmd/lockroad/run.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"strings"
 	"syscall"
+	"time"
 
 	"lockroad/internal/config"
 	"lockroad/internal/logging"
@@ -53,10 +54,11 @@
 
 // Run runs the relay until it has shut down.
 func (c *runCommand) Run(std streams) error {
+	startedAt := time.Now()
 	site, operator, fileErr := c.readFiles()
 	log := logging.New(c.logOptions(operator), std.err)
 	defer log.Close()
-	err := errors.Join(fileErr, c.run(site, operator, log, fileErr != nil))
+	err := errors.Join(fileErr, c.run(site, operator, log, startedAt, fileErr != nil))
 	if errors.Is(err, server.ErrRestart) {
 		return exitError(exitRestart)
 	}
@@ -98,8 +100,9 @@
 }
 
 // run reads the platform configuration, unless there is a site file, and runs the relay. With checkOnly it reads the
-// configuration but does not run the relay, so that the errors of both files are reported together.
-func (c *runCommand) run(site *config.Site, operator *config.Operator, log *logging.Logger, checkOnly bool) error {
+// configuration but does not run the relay, so that the errors of both files are reported together. startedAt is a time
+// before any file was read.
+func (c *runCommand) run(site *config.Site, operator *config.Operator, log *logging.Logger, startedAt time.Time, checkOnly bool) error {
 	if c.Site != "" && checkOnly {
 		return nil
 	}
@@ -123,12 +126,13 @@
 		platform.AdminAddr = c.Admin
 	}
 	options := server.RunOptions{
-		Shutdown:   shutdownSignal(),
-		Reload:     reloadSignals,
-		ConfigPath: path,
-		Site:       site,
-		LogTail:    log.Tail,
-		Supervised: os.Getenv("INVOCATION_ID") != "" || os.Getenv("LOCKROAD_SUPERVISED") != "",
+		Shutdown:     shutdownSignal(),
+		Reload:       reloadSignals,
+		ConfigPath:   path,
+		ConfigReadAt: startedAt,
+		Site:         site,
+		LogTail:      log.Tail,
+		Supervised:   os.Getenv("INVOCATION_ID") != "" || os.Getenv("LOCKROAD_SUPERVISED") != "",
 	}
 	return server.Run(context.Background(), options, platform, operator, log.Logger)
 }
--- a/internal/server/hotrestart.go
+++ b/internal/server/hotrestart.go
@@ -32,6 +32,8 @@
 	consoleRetryInterval = 100 * time.Millisecond
 	// resolveTimeout limits how long the name in a listen address may take to resolve.
 	resolveTimeout = time.Second
+	// inheritedReloadTimeout limits the reload of a configuration that the predecessor has reloaded.
+	inheritedReloadTimeout = 500 * time.Millisecond
 )
 
 // handoffState is the state that a predecessor sends to its successor. The two may be of different versions, so
@@ -209,7 +211,7 @@
 		r.limiters[i].ReserveSlots(slots)
 	}
 	err := r.asSuccessor.TakeOver()
-	r.applyPredecessorState(err == nil)
+	r.applyPredecessorState(ctx, err == nil)
 	if err != nil {
 		r.persistence.openBeforeServing(ctx, r.operator.Store)
 	}
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
+	"time"
 
 	"lockroad/internal/config"
 )
 
 // reloadRequest is a reload requested at the console. The zero value is a reload requested by SIGHUP.
 type reloadRequest struct {
-	dryRun bool              // only report what would change
-	result chan reloadResult // buffered for one result; nil: the requester doesn't wait
+	dryRun    bool              // only report what would change
+	inherited bool              // repeats a reload of the predecessor, which has counted it
+	result    chan reloadResult // buffered for one result; nil: the requester doesn't wait
 }
 
 type reloadResult struct {
@@ -21,10 +24,41 @@
 // an error nothing has changed. It is called only by runReloads's goroutine.
 type reloader func(request reloadRequest) (changes []string, err error)
 
-// requestReload reloads the configuration, as SIGHUP does, or reports what a reload would change (dryRun). It
-// waits for the result or until ctx is cancelled. It is safe for concurrent use.
+// requestReload reloads the configuration, as SIGHUP does, or reports what a reload would change (dryRun), in the
+// process that serves the clients. If that is a successor, this process reloads too, as it serves again if the
+// successor is lost. It waits for the result or until ctx is cancelled. It is safe for concurrent use.
 func (r *relay) requestReload(ctx context.Context, dryRun bool) ([]string, error) {
-	request := reloadRequest{dryRun: dryRun, result: make(chan reloadResult, 1)}
+	changes, served, err := r.reloadSuccessor(ctx, dryRun)
+	if err != nil || served && dryRun {
+		return changes, err
+	}
+	own, err := r.submitReload(ctx, reloadRequest{dryRun: dryRun})
+	switch {
+	case served && err != nil:
+		return append(changes, fmt.Sprintf("the process that hands over keeps its configuration: %v", err)), nil
+	case served:
+		return changes, nil
+	case err != nil || dryRun:
+		return own, err
+	}
+	// A successor may have taken over meanwhile.
+	changes, served, err = r.reloadSuccessor(ctx, dryRun)
+	if err == nil && !served {
+		changes = own
+	}
+	return changes, err
+}
+
+// reloadSuccessor has the successor reload its configuration. served is false if none serves the clients.
+func (r *relay) reloadSuccessor(ctx context.Context, dryRun bool) (changes []string, served bool, err error) {
+	var reply reloadReply
+	served, err = r.callSuccessor(ctx, methodReload, reloadCall{DryRun: dryRun}, &reply)
+	return reply.Changes, served, err
+}
+
+// submitReload has this process reload its configuration, and waits for the result or until ctx is cancelled.
+func (r *relay) submitReload(ctx context.Context, request reloadRequest) ([]string, error) {
+	request.result = make(chan reloadResult, 1)
 	select {
 	case r.reloadRequests <- request:
 	case <-ctx.Done():
@@ -57,7 +91,7 @@
 		changes, err := reload(request)
 		if !request.dryRun {
 			r.credentials.reload(r.log)
-			r.countReload(err)
+			r.recordReload(request, err)
 		}
 		if request.result != nil {
 			request.result <- reloadResult{changes: changes, err: err}
@@ -65,7 +99,16 @@
 	}
 }
 
-func (r *relay) countReload(err error) {
+// recordReload counts a reload, and tells a successor that is about to take over of one that was applied.
+func (r *relay) recordReload(request reloadRequest, err error) {
+	if err == nil {
+		now := time.Now()
+		r.reloadedAt.Store(&now)
+		r.publishState()
+	}
+	if request.inherited {
+		return
+	}
 	if err != nil {
 		r.proxy.Metrics.ReloadsRejected.Add(1)
 		r.log.Error("configuration reload rejected", "error", err)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -13,6 +13,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -31,11 +32,13 @@
 // RunOptions configures how a process runs a relay, in addition to the relay's configuration. With the zero
 // value, the relay runs until its context is cancelled.
 type RunOptions struct {
-	Shutdown   <-chan struct{}             // closed to request a shutdown; nil: only the console or ctx stops the relay
-	Reload     <-chan os.Signal            // receives a value each time the file at ConfigPath should be reloaded
-	ConfigPath string                      // path of the platform configuration or site file
-	Site       *config.Site                // source of the configuration; nil: the platform
-	LogTail    func(maxLines int) []string // returns the last log lines; nil: no lines are retained
+	Shutdown   <-chan struct{}  // closed to request a shutdown; nil: only the console or ctx stops the relay
+	Reload     <-chan os.Signal // receives a value each time the file at ConfigPath should be reloaded
+	ConfigPath string           // path of the platform configuration or site file
+	// ConfigReadAt is a time before the configuration was read. A reload by a predecessor after that is repeated.
+	ConfigReadAt time.Time
+	Site         *config.Site                // source of the configuration; nil: the platform
+	LogTail      func(maxLines int) []string // returns the last log lines; nil: no lines are retained
 	// Supervised reports whether a supervisor restarts the process after ErrRestart.
 	Supervised bool
 }
@@ -72,8 +75,9 @@
 
 	ready          atomic.Bool // new clients are admitted
 	shuttingDown   atomic.Bool
-	handedOver     atomic.Bool        // a successor serves the clients, or did when the shutdown began
-	reloadRequests chan reloadRequest // from the console
+	handedOver     atomic.Bool               // a successor serves the clients, or did when the shutdown began
+	reloadedAt     atomic.Pointer[time.Time] // of the last reload; nil: there was none
+	reloadRequests chan reloadRequest        // from the console
 
 	shutdownOnce      sync.Once     // guards closing shutdownRequested
 	shutdownRequested chan struct{} // closed when the console requests a shutdown
--- a/internal/server/successorcalls.go
+++ b/internal/server/successorcalls.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"time"
 
 	"lockroad/internal/hotrestart"
 )
@@ -17,6 +18,7 @@
 // Methods of the calls to a successor. A successor of another release carries them out, so they must not change.
 const (
 	methodDirectives hotrestart.Method = "orders"   // put a directiveState into force
+	methodReload     hotrestart.Method = "reload"   // reload the configuration; reloadCall, reloadReply
 	methodRequests   hotrestart.Method = "requests" // requestsReply
 )
 
@@ -24,6 +26,17 @@
 // another release reads it, so the JSON keys must not change.
 type currentState struct {
 	Directives directiveState `json:"Orders"`
+	ReloadedAt time.Time      `json:"ReloadedAt,omitzero"` // when this process last reloaded its configuration; zero: never
+}
+
+// reloadCall is the argument of methodReload.
+type reloadCall struct {
+	DryRun bool `json:"DryRun"`
+}
+
+// reloadReply is the result of methodReload: a line for each change.
+type reloadReply struct {
+	Changes []string `json:"Changes"`
 }
 
 // requestsReply is the result of methodRequests: the number of requests at each endpoint, by name.
@@ -70,7 +83,11 @@
 
 // CurrentState returns what may have changed since the offer. It is called by asPredecessor's goroutines.
 func (r *relay) CurrentState() any {
-	return currentState{Directives: r.persistence.directiveState()}
+	state := currentState{Directives: r.persistence.directiveState()}
+	if at := r.reloadedAt.Load(); at != nil {
+		state.ReloadedAt = *at
+	}
+	return state
 }
 
 // adoptFrom adopts the connections of an older process and answers its calls, until that process has ended.
@@ -93,6 +110,13 @@
 			return nil, err
 		}
 		return nil, r.persistence.replaceDirectives(ctx, state)
+	case methodReload:
+		var call reloadCall
+		if err := json.Unmarshal(argument, &call); err != nil {
+			return nil, err
+		}
+		changes, err := r.requestReload(ctx, call.DryRun)
+		return reloadReply{Changes: changes}, err
 	case methodRequests:
 		return requestsReply{Requests: r.requestsByEndpoint(ctx)}, nil
 	}
@@ -101,7 +125,7 @@
 
 // applyPredecessorState applies the last state that the predecessor has sent by the takeover, before this process
 // admits clients.
-func (r *relay) applyPredecessorState(takenOver bool) {
+func (r *relay) applyPredecessorState(ctx context.Context, takenOver bool) {
 	if r.asSuccessor.State == nil { // the predecessor is of an earlier release
 		return
 	}
@@ -114,6 +138,18 @@
 	if !takenOver {
 		r.persistence.markOutOfSync() // the predecessor may still run and accept orders
 	}
+	if state.ReloadedAt.After(r.options.ConfigReadAt) {
+		r.reloadInherited(ctx)
+	}
+}
+
+// reloadInherited reads the configuration again after the predecessor has reloaded it while this process started.
+func (r *relay) reloadInherited(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, inheritedReloadTimeout)
+	defer cancel()
+	if _, err := r.submitReload(ctx, reloadRequest{inherited: true}); err != nil {
+		r.log.Error("configuration that the predecessor has reloaded rejected", "error", err)
+	}
 }
 
 // requestsByEndpoint counts the requests at each endpoint in this process and in a successor that serves.
