Refuse to stop or restart the relay at the console while two of its processes run

What callers saw: "all clients are being moved away; the relay stops after the last has left" was confirmed during an upgrade, the old process ended, and the new one served on.

Cause: the console belongs to the old process, which ended itself only.

Change: both orders are refused with the reason and the process numbers, from when another process has connected to take over. SIGTERM ends either process as before.

--- a/cmd/lockroad/orders_test.go
+++ b/cmd/lockroad/orders_test.go
@@ -170,6 +170,18 @@
 	})
 }
 
+// An order to stop or restart the relay ended the predecessor alone, while the successor served on.
+func TestStopDuringUpgradeIsRefused(t *testing.T) {
+	eachStore(t, func(cluster *orderCluster) {
+		old, next := cluster.start(), cluster.start()
+		for _, command := range []string{"drain", "restart"} {
+			cluster.order(command, "another process of this relay takes over or has taken over", fmt.Sprint(next.Process.Pid))
+		}
+		old.requireRunning()
+		next.requireRunning()
+	})
+}
+
 // reloadingPredecessor is a predecessor that reloads a changed configuration after its offer.
 type reloadingPredecessor struct {
 	hotrestart.Handler // only the methods below are called
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -44,10 +44,11 @@
 	observer.Ended(proxy.Result{End: registry.EndRejected, RetryAfter: time.Second})
 	var mu sync.Mutex
 	shutdownCalls := 0
-	server := &Server{Name: "n3", Proxy: relay, Frontends: []Frontend{{"line", "10.0.0.4:3000"}}, Explainer: &explain.Explainer{Log: log, Names: relay.Endpoints}, Shutdown: func() {
+	server := &Server{Name: "n3", Proxy: relay, Frontends: []Frontend{{"line", "10.0.0.4:3000"}}, Explainer: &explain.Explainer{Log: log, Names: relay.Endpoints}, Shutdown: func() error {
 		mu.Lock()
 		defer mu.Unlock()
 		shutdownCalls++
+		return nil
 	}, LogTail: func(limit int) []string { return []string{"first\n", "second\n", "third\n"}[3-min(3, limit):] }, Restart: func() error { return nil }}
 	socket = filepath.Join(t.TempDir(), "console")
 	listener, err := Listen(socket)
--- a/internal/console/drain.go
+++ b/internal/console/drain.go
@@ -40,7 +40,9 @@
 // and stops it.
 func drain(ctx context.Context, s *Server, call call, out io.Writer) error {
 	if call.args == "" {
-		s.Shutdown()
+		if err := s.Shutdown(); err != nil {
+			return err
+		}
 		fmt.Fprintln(out, "all clients are being moved away; the relay stops after the last has left")
 		return nil
 	}
--- a/internal/console/golden_test.go
+++ b/internal/console/golden_test.go
@@ -110,7 +110,7 @@
 		synctest.Wait()
 		test(&Server{
 			Name: "n3", Proxy: relay, Frontends: []Frontend{{"line", "10.0.0.4:3000"}, {"amqp", "10.0.0.4:5671"}},
-			Explainer: &explain.Explainer{Log: log, Names: relay.Endpoints}, Shutdown: func() {}, Persistence: &fakePersistence{since: time.Now()},
+			Explainer: &explain.Explainer{Log: log, Names: relay.Endpoints}, Shutdown: func() error { return nil }, Persistence: &fakePersistence{since: time.Now()},
 			Reload: func(_ context.Context, _ bool) ([]string, error) {
 				return []string{"limits.cores: 2 becomes 4"}, nil
 			},
--- a/internal/console/server.go
+++ b/internal/console/server.go
@@ -41,7 +41,7 @@
 	Name        string // of the relay
 	Proxy       *proxy.Proxy
 	Frontends   []Frontend
-	Shutdown    func()             // migrates all clients off the relay, and then stops it
+	Shutdown    func() error       // migrates all clients off the relay, and then stops it
 	Explainer   *explain.Explainer // nil: there is no decision log
 	Persistence Persistence        // nil: drain directives are rejected
 	// Reload applies the configuration file and returns a line for each change. With dryRun it
--- a/internal/hotrestart/calls.go
+++ b/internal/hotrestart/calls.go
@@ -76,3 +76,14 @@
 		return nil, 0, ctx.Err()
 	}
 }
+
+// SuccessorPID returns the process ID of the connected successor, which may not have
+// taken over yet.
+func (p *Predecessor) SuccessorPID() (pid int, connected bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.peer == nil {
+		return 0, false
+	}
+	return p.peer.pid, true
+}
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -60,7 +60,7 @@
 	server := &console.Server{
 		Name:        r.config.Name,
 		Proxy:       r.proxy,
-		Shutdown:    r.requestShutdown,
+		Shutdown:    r.orderShutdown,
 		Persistence: r.persistence,
 		Reload:      r.requestReload,
 		LogTail:     r.options.LogTail,
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -46,11 +46,24 @@
 	if !r.options.Supervised {
 		return errNotSupervised
 	}
+	if err := r.requireSoleProcess(); err != nil {
+		return err
+	}
 	r.restartRequested.Store(true)
 	r.requestShutdown()
 	return nil
 }
 
+// orderShutdown starts the shutdown for the console. It returns an error while another process of the relay would
+// continue to serve. It is safe for concurrent and repeated use.
+func (r *relay) orderShutdown() error {
+	if err := r.requireSoleProcess(); err != nil {
+		return err
+	}
+	r.requestShutdown()
+	return nil
+}
+
 // requestShutdown starts the shutdown and returns immediately. It is safe for concurrent and repeated use.
 func (r *relay) requestShutdown() { r.shutdownOnce.Do(func() { close(r.shutdownRequested) }) }
 
--- a/internal/server/successorcalls.go
+++ b/internal/server/successorcalls.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"time"
 
 	"lockroad/internal/hotrestart"
@@ -48,6 +49,7 @@
 var (
 	errSuccessorTooOld      = errors.New("a process of an earlier version is taking over, and accepts no orders from this one: give the order again once this process has ended")
 	errSuccessorUnreachable = errors.New("this process is ending and can't reach the one that serves the clients: give the order again in a moment")
+	errHandingOver          = errors.New("another process of this relay takes over or has taken over")
 )
 
 // callSuccessor has the process that serves the clients carry out a call, if that is another process than this one.
@@ -152,6 +154,19 @@
 	}
 }
 
+// requireSoleProcess returns an error while another process takes over or has taken over: an order to stop or restart
+// the relay would end this process only.
+func (r *relay) requireSoleProcess() error {
+	if r.asPredecessor == nil {
+		return nil
+	}
+	pid, connected := r.asPredecessor.SuccessorPID()
+	if !connected {
+		return nil
+	}
+	return fmt.Errorf("%w (process %d); SIGTERM to process %d ends this one, and then the order can be given again", errHandingOver, pid, os.Getpid())
+}
+
 // requestsByEndpoint counts the requests at each endpoint in this process and in a successor that serves.
 func (r *relay) requestsByEndpoint(ctx context.Context) map[string]int {
 	counts := r.proxy.RequestsByEndpoint()
