Have the oldest of three processes yield to the newest once the one between is lost

What callers saw: with a third version started before the first had ended, the loss of the second made the first accept clients again beside the third, with the console and the store. An order confirmed there had no effect on the third, which gave up waiting for both after 5 s.

Cause: a process knows its direct successor only, and took its loss for that of all newer processes.

Change: the newest process that is ready owns the hot restart socket. Of two tables of orders the higher revision counts. A newer process of an earlier release rejects this, and both serve, as before.

--- a/cmd/lockroad/orders_test.go
+++ b/cmd/lockroad/orders_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -149,6 +150,32 @@
 	})
 }
 
+// Three versions in a row: an order at the oldest process must reach the newest, and hold there after the one between
+// them was lost, as well as the orders given after that.
+func TestOrdersReachTheNewestOfThreeProcesses(t *testing.T) {
+	eachStore(t, func(cluster *orderCluster) {
+		oldest, middle, newest := cluster.start(), cluster.start(), cluster.start()
+		cluster.startClients(60)
+		cluster.order("drain s-1", "gets no new transactions")
+		first := time.Now()
+		cluster.requireDrained("s-1", first)
+		middle.kill()
+		testutil.Until(t, "the oldest process did not yield to the newest", func() bool {
+			return strings.Contains(runConsole(t, cluster.socket, "log 500"), "a newer process serves the clients")
+		})
+		cluster.order("drain s-2", "gets no new transactions")
+		second := time.Now()
+		cluster.requireDrained("s-2", second)
+		cluster.requireDrained("s-1", first)
+		oldest.shutDown()
+		cluster.order("orders", "s-1", "s-2")
+		cluster.requireDrained("s-2", second)
+		cluster.order("undrain s-1", "follows the endpoint list again")
+		cluster.requireServed("s-1")
+		newest.requireRunning()
+	})
+}
+
 // A reload at the console was applied by the predecessor alone.
 func TestReloadDuringUpgradeHoldsForSuccessor(t *testing.T) {
 	eachStore(t, func(cluster *orderCluster) {
--- a/internal/hotrestart/calls_test.go
+++ b/internal/hotrestart/calls_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"log/slog"
+	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -98,7 +101,10 @@
 func TestSuccessorWithoutCallsGetsNone(t *testing.T) {
 	predecessor, _ := startPredecessor(t)
 	near, far := socketPair(t)
-	go predecessor.servePeer(context.Background(), far)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); predecessor.servePeer(ctx, far) }()
+	defer func() { near.Close(); cancel(); <-done }()
 	if err := near.send(time.Second, kindHello, helloMessage{Version: ProtocolVersion, PID: 1}); err != nil {
 		t.Fatal(err)
 	}
@@ -117,5 +123,81 @@
 	if paused, err := near.receive(time.Now().Add(time.Second)); err != nil || paused.kind != kindPaused {
 		t.Errorf("got %v, %v, want the confirmation and nothing before it", paused, err)
 	}
-	near.Close()
+}
+
+// Of three processes the one in the middle is lost: the oldest must yield to the newest, not serve beside it. Once the
+// newest is lost too, the oldest serves.
+func TestOldestProcessYieldsToNewest(t *testing.T) {
+	oldest, oldestHandler := startPredecessor(t)
+	middle := connectSuccessor(t, oldest)
+	if err := middle.TakeOver(); err != nil {
+		t.Fatal(err)
+	}
+	oldestHandler.current.Store(7)
+	newestHandler := &fakeHandler{clientListener: oldestHandler.clientListener}
+	newestHandler.current.Store(8)
+	newest := NewPredecessor(oldest.path, newestHandler, slog.New(slog.DiscardHandler)) // replaces the socket
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- newest.Serve(ctx) }()
+	testutil.Until(t, "the newest process does not listen", func() bool {
+		socketFile, err := os.Stat(oldest.path)
+		oldest.mu.Lock()
+		defer oldest.mu.Unlock()
+		return err == nil && !os.SameFile(socketFile, oldest.socketFile)
+	})
+	middle.Close()
+	testutil.Until(t, "the oldest process did not yield", func() bool {
+		var answer string
+		return oldest.Call(t.Context(), "echo", "x", &answer) == nil && answer == "x"
+	})
+	if merged, answered := newestHandler.merged.Load(), oldestHandler.merged.Load(); merged != "7" || answered != "8" || oldestHandler.pauses.Load() != 1 {
+		t.Errorf("the newest has merged %v, the oldest %v with %d pauses; want 7, 8 and 1", merged, answered, oldestHandler.pauses.Load())
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	testutil.Until(t, "the oldest process did not resume", func() bool { return oldestHandler.pauses.Load() == 0 })
+	if err := connectSuccessor(t, oldest).TakeOver(); err != nil {
+		t.Errorf("a later successor could not take over: %v", err)
+	}
+}
+
+// A process that rejects an older one, such as one of an earlier release, leaves that one serving.
+func TestRejectedOldProcessServes(t *testing.T) {
+	oldest, handler := startPredecessor(t)
+	successor := connectSuccessor(t, oldest)
+	if err := successor.TakeOver(); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.ListenUnix("unix", &net.UnixAddr{Name: oldest.path + ".other", Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	if err := os.Rename(oldest.path+".other", oldest.path); err != nil {
+		t.Fatal(err)
+	}
+	rejected := make(chan struct{})
+	go func() { // answers as an earlier release does, and ends
+		defer close(rejected)
+		defer listener.Close()
+		conn, err := listener.AcceptUnix()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		peer := newChannel(conn)
+		if received, err := peer.receive(time.Now().Add(time.Second)); err == nil && received.kind == kindRejoin {
+			_ = peer.send(time.Second, kindReject, "a hello was expected") // the oldest process reports what it got
+		}
+	}()
+	successor.Close()
+	<-rejected
+	testutil.Until(t, "the rejected process does not serve", func() bool { return handler.pauses.Load() == 0 })
+	if err := oldest.Call(t.Context(), "echo", nil, nil); !errors.Is(err, ErrNoSuccessor) {
+		t.Errorf("got %v, want ErrNoSuccessor", err)
+	}
 }
--- a/internal/hotrestart/doc.go
+++ b/internal/hotrestart/doc.go
@@ -18,6 +18,10 @@
 //  6. When the predecessor shuts down, it hands off its established connections
 //     one by one, and the successor acknowledges or declines each.
 //
+// The newest process that is ready owns the socket at the relay's path. A process that
+// loses its successor while a newer one owns the socket makes that one its successor
+// (rejoin.go), so that of three processes the oldest does not serve beside the newest.
+//
 // The caller must
 //
 //  1. accept no client and spend none of the slow-start budget while
--- a/internal/hotrestart/handover_test.go
+++ b/internal/hotrestart/handover_test.go
@@ -26,6 +26,7 @@
 	pauses         atomic.Int32 // calls of SetPaused with true, less those with false
 	fails          atomic.Bool
 	current        atomic.Int64 // the state of CurrentState
+	merged         atomic.Value // string: the last state of MergeState
 }
 
 func (h *fakeHandler) Offer(context.Context) (*Offer, []syscall.Conn, error) {
@@ -50,6 +51,15 @@
 
 func (h *fakeHandler) CurrentState() any { return h.current.Load() }
 
+func (h *fakeHandler) MergeState(state json.RawMessage) error {
+	h.merged.Store(string(state))
+	return nil
+}
+
+func (h *fakeHandler) AdoptFrom(ctx context.Context, s *Successor) {
+	_ = s.Adopt(ctx, nil, echoCall) // the test closes the connection
+}
+
 // echoCall returns a call's argument, or an error if the method is fail.
 func echoCall(_ context.Context, method Method, argument json.RawMessage) (any, error) {
 	if method == "fail" {
--- a/internal/hotrestart/messages.go
+++ b/internal/hotrestart/messages.go
@@ -33,6 +33,8 @@
 	kindState                             // predecessor: its current state, which has changed since the offer
 	kindCall                              // predecessor: a call for the successor
 	kindResult                            // successor: the result of the call with this number
+	kindRejoin                            // older process: it has lost its successor, and yields to this one; its current state
+	kindRejoined                          // newer process: it serves the older one as its successor; its current state
 )
 
 // Errors of the exchange between the two processes.
@@ -98,6 +100,13 @@
 	Result json.RawMessage `json:"Result,omitempty"`
 }
 
+// rejoinMessage identifies an older process that yields to a newer one.
+type rejoinMessage struct {
+	Version int             `json:"Format"`
+	PID     int             `json:"PID"`
+	State   json.RawMessage `json:"State"`
+}
+
 // expect returns an error unless the message is of the given kind. For a rejection,
 // the error contains the predecessor's reason.
 func (m *message) expect(kind messageKind) error {
--- a/internal/hotrestart/messages_test.go
+++ b/internal/hotrestart/messages_test.go
@@ -113,12 +113,15 @@
 func TestCallsKeepTheirEncoding(t *testing.T) {
 	call := callMessage{Number: 5, Method: "orders", Argument: json.RawMessage(`{"Revision":3}`), Timeout: 750 * time.Millisecond}
 	result := resultMessage{Number: 5, Error: "unknown", Result: json.RawMessage(`{"Changes":[]}`)}
-	for _, complete := range []any{call, result} {
+	rejoin := rejoinMessage{Version: 1, PID: 4711, State: json.RawMessage(`{"Orders":{}}`)}
+	for _, complete := range []any{call, result, rejoin} {
 		testutil.RequireComplete(t, complete)
 	}
 	checkFrame(t, "testdata/call.frame", kindCall, call)
 	checkFrame(t, "testdata/result.frame", kindResult, result)
 	checkFrame(t, "testdata/result-success.frame", kindResult, resultMessage{Number: 6, Result: json.RawMessage("null")})
+	checkFrame(t, "testdata/rejoin.frame", kindRejoin, rejoin)
+	checkFrame(t, "testdata/rejoined.frame", kindRejoined, rejoin)
 	checkFrame(t, "testdata/state.frame", kindState, map[string]any{"ReloadedAt": "x"})
 	checkFrame(t, "testdata/go-state.frame", kindPaused, map[string]any{"ReloadedAt": "x"})
 }
@@ -170,7 +173,7 @@
 }
 
 func TestMessageFieldsAreTagged(t *testing.T) {
-	for _, message := range []any{helloMessage{}, Offer{}, connectionMessage{}, callMessage{}, resultMessage{}} {
+	for _, message := range []any{helloMessage{}, Offer{}, connectionMessage{}, callMessage{}, resultMessage{}, rejoinMessage{}} {
 		testutil.RequireTags(t, []string{"json"}, message)
 	}
 }
--- a/internal/hotrestart/predecessor.go
+++ b/internal/hotrestart/predecessor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -42,6 +43,12 @@
 	// successor receives it after the offer, at each PublishState until the takeover,
 	// and with the confirmation of the takeover.
 	CurrentState() any
+	// MergeState applies the state of another process, as its CurrentState returned
+	// it, where that is newer than this process's own.
+	MergeState(json.RawMessage) error
+	// AdoptFrom serves an older process whose successor this process has become, until
+	// that process has ended. Its state has been merged.
+	AdoptFrom(context.Context, *Successor)
 }
 
 // Predecessor is the running process's side of a hot restart.
@@ -55,7 +62,8 @@
 	peer       *peer // nil: there is no successor
 	lastNumber int   // of the last connection handed off, or of the last call
 	listener   *net.UnixListener
-	paused     bool // the last argument of the handler's SetPaused
+	socketFile os.FileInfo // of listener, at path
+	paused     bool        // the last argument of the handler's SetPaused
 
 	handOffMu sync.Mutex // held while a connection is handed off; locked before mu
 	publishMu sync.Mutex // held while a state is sent, so that the latest is sent last; locked before mu
@@ -108,14 +116,15 @@
 		return err
 	}
 	listener.SetUnlinkOnClose(false)
-	if err := errors.Join(os.Chmod(temporary, 0o600), os.Rename(temporary, p.path)); err != nil {
+	socketFile, err := os.Stat(temporary)
+	if err := errors.Join(err, os.Chmod(temporary, 0o600), os.Rename(temporary, p.path)); err != nil {
 		listener.Close()
 		_ = os.Remove(temporary) // otherwise, the next call of listen removes it
 		return err
 	}
 	p.mu.Lock()
 	previous := p.listener
-	p.listener = listener
+	p.listener, p.socketFile = listener, socketFile
 	p.mu.Unlock()
 	if previous != nil {
 		previous.Close()
@@ -139,8 +148,9 @@
 	}
 }
 
-// servePeer serves a successor, from its hello until its connection ends. If the
-// successor had taken over, the relay then resumes accepting.
+// servePeer serves a process that has connected: a successor, or an older process
+// that yields to this one. It returns once the connection has ended. If a successor
+// had taken over, the relay then resumes accepting.
 func (p *Predecessor) servePeer(ctx context.Context, conn channel) {
 	defer conn.Close()
 	if err := conn.checkPeerUser(); err != nil {
@@ -152,6 +162,10 @@
 		return
 	}
 	received.closeFiles()
+	if received.kind == kindRejoin {
+		p.serveOlderProcess(ctx, conn, received)
+		return
+	}
 	successor := p.acceptPeer(conn, received)
 	if successor == nil {
 		return
@@ -163,7 +177,10 @@
 	}
 	p.log.Warn("hot restart successor lost", "pid", successor.pid, "error", err, "leaving", shuttingDown)
 	if resume {
-		p.resume()
+		p.resume(ctx)
+	}
+	if !shuttingDown {
+		p.watchForNewerProcess(ctx)
 	}
 }
 
@@ -208,7 +225,12 @@
 }
 
 // resume makes the relay accept clients again after the loss of its successor.
-func (p *Predecessor) resume() {
+func (p *Predecessor) resume(ctx context.Context) {
+	for p.yieldToNewerProcess(ctx) {
+	}
+	if ctx.Err() != nil {
+		return
+	}
 	p.setPaused(false)
 	if err := p.listen(); err != nil { // the successor had replaced the socket
 		p.log.Warn("hot restart socket unavailable", "error", err)
--- a/internal/server/persistentstate.go
+++ b/internal/server/persistentstate.go
@@ -51,24 +51,35 @@
 
 // open opens the store, if one is configured. An error is logged, and Stats returns it from then on.
 func (p *persistentState) open(settings config.Store) {
+	if err := p.tryOpen(settings); err != nil {
+		p.logOpenError(settings, err)
+	}
+}
+
+func (p *persistentState) logOpenError(settings config.Store, err error) {
+	p.relay.log.Error("failed to open store, running without it", "folder", settings.Dir, "error", err)
+}
+
+// tryOpen opens the store, if one is configured. Stats returns the error from then on.
+func (p *persistentState) tryOpen(settings config.Store) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if settings.Dir == "" {
 		p.storeErr = errNoStoreConfigured
-		return
+		return nil
 	}
 	options := store.Options{Kinds: persistence.Kinds(), MaxBytes: int64(settings.MB) << 20, Log: p.relay.log}
 	opened, report, err := store.Open(store.Dir(settings.Dir), options)
 	if err != nil {
 		p.storeErr = err
-		p.relay.log.Error("failed to open store, running without it", "folder", settings.Dir, "error", err)
-		return
+		return err
 	}
 	p.store, p.storeErr = opened, nil
 	p.relay.log.Info("store opened", "folder", settings.Dir, "records", report.Records, "commits", report.Commits, "took", report.Duration)
 	if tail := report.TornTail; tail != nil {
 		p.relay.log.Warn("incomplete write at end of store file, uncommitted records lost", "file", tail.File, "byte", tail.Offset, "bytes", tail.Bytes)
 	}
+	return nil
 }
 
 // markOutOfSync records that the predecessor may have changed its directives without passing that on.
--- a/internal/server/storeopening.go
+++ b/internal/server/storeopening.go
@@ -46,26 +46,20 @@
 		o.begun = time.Now()
 	}
 	if !o.state.isOpen() {
-		if o.isHeld() {
+		err := o.state.tryOpen(o.settings)
+		if errors.Is(err, store.ErrLocked) {
 			o.waitOn()
 			return
 		}
-		o.state.open(o.settings)
+		if err != nil {
+			o.state.logOpenError(o.settings, err)
+		}
 		o.state.reconcileDirectives(ctx)
 	}
 	o.done = true
 	o.state.settleStore()
 }
 
-// isHeld reports whether another process holds the store.
-func (o *storeOpening) isHeld() bool {
-	lock, err := store.Dir(o.settings.Dir).Lock()
-	if err == nil {
-		_ = lock.Close()
-	}
-	return errors.Is(err, store.ErrLocked)
-}
-
 // waitOn lets the console open without the store if that is held for long.
 func (o *storeOpening) waitOn() {
 	if !o.reported && time.Since(o.begun) > predecessorExitTimeout {
--- a/internal/server/successorcalls.go
+++ b/internal/server/successorcalls.go
@@ -92,6 +92,23 @@
 	return state
 }
 
+// MergeState applies the state of another process of this relay. It is called by asPredecessor's goroutines.
+func (r *relay) MergeState(text json.RawMessage) error {
+	var state currentState
+	if err := json.Unmarshal(text, &state); err != nil {
+		return fmt.Errorf("state of the other process: %w", err)
+	}
+	r.persistence.mergeDirectives(state.Directives)
+	return nil
+}
+
+// AdoptFrom serves an older process that yielded to this one. It is called by asPredecessor's goroutines.
+func (r *relay) AdoptFrom(ctx context.Context, older *hotrestart.Successor) {
+	r.limitMemory(halfProcess)
+	defer r.limitMemory(wholeProcess)
+	r.adoptFrom(ctx, older)
+}
+
 // adoptFrom adopts the connections of an older process and answers its calls, until that process has ended.
 func (r *relay) adoptFrom(ctx context.Context, older *hotrestart.Successor) {
 	err := older.Adopt(ctx, func(payload json.RawMessage, sockets []net.Conn) (func(), error) {
