Free the names of requests that end at the old process of an upgrade at once

Cause: the new process reserved the names in the offer and released them together, at the old process's end.

An offer has the reserved names as well, so that a third process knows them.

--- a/cmd/lockroad/orders_test.go
+++ b/cmd/lockroad/orders_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	amqp10 "github.com/Azure/go-amqp"
+
 	"lockroad/internal/fake"
 	"lockroad/internal/hotrestart"
 	"lockroad/internal/testutil"
@@ -261,3 +263,53 @@
 	cluster.order("orders", "no order is in force")
 	cluster.requireServed("s-1")
 }
+
+// attachLink attaches a link of a name on a new AMQP connection of the container editor.
+func attachLink(t *testing.T, address, name string) (*amqp10.Conn, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	conn, err := amqp10.Dial(ctx, "amqp://"+address, &amqp10.ConnOptions{SASLType: amqp10.SASLTypeAnonymous(), ContainerID: "editor"})
+	if err != nil {
+		return nil, err
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	session, err := conn.NewSession(ctx, nil)
+	if err != nil {
+		return nil, err
+	}
+	_, err = session.NewSender(ctx, "there", &amqp10.SenderOptions{Name: name, Properties: map[string]any{"class": "page", "give-up-ms": uint32(900), "group": "1"}})
+	return conn, err
+}
+
+// An AMQP client whose link had ended at the predecessor was told by the successor, until the predecessor had ended, that
+// a transaction of this name is open. A link that is open there must be refused.
+func TestNameOfEndedLinkIsFreeDuringUpgrade(t *testing.T) {
+	t.Parallel()
+	cluster := newLatencyTolerantCluster(t)
+	address, operator := freeAddress(t), filepath.Join(cluster.dir, "operator.toml")
+	if err := os.WriteFile(operator, fmt.Appendf(nil, "[amqp]\nlisten = %q\nserver_port = %d\n", address, cluster.site.AMQPPort), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	old := cluster.startProcess("LOCKROAD_OPERATOR=" + operator)
+	old.awaitReady()
+	first, err := attachLink(t, address, "ended")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := attachLink(t, address, "open"); err != nil {
+		t.Fatal(err)
+	}
+	next := cluster.startProcess("LOCKROAD_OPERATOR=" + operator)
+	next.awaitReady()
+	if err := first.Close(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(57 * time.Millisecond) // clients return after 57 ms at the earliest
+	if _, err := attachLink(t, address, "ended"); err != nil {
+		t.Errorf("the name of an ended link: %v", err)
+	}
+	if _, err := attachLink(t, address, "open"); err == nil || !strings.Contains(err.Error(), "a transaction of this name is open") {
+		t.Errorf("the name of an open link: got %v, want a refusal", err)
+	}
+}
--- a/internal/registry/requests.go
+++ b/internal/registry/requests.go
@@ -91,6 +91,15 @@
 	}
 }
 
+// Release ends the reservations of requests that have ended in the other process.
+func (r *Requests) Release(names []RequestName) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, name := range names {
+		delete(r.reserved, name)
+	}
+}
+
 // ReleaseReservations ends all reservations. It is called after the other process has ended.
 func (r *Requests) ReleaseReservations() {
 	r.mu.Lock()
@@ -107,11 +116,18 @@
 	return r.Add(request)
 }
 
-// Names returns the names of the named open requests, in no particular order.
+// Names returns the names that Add refuses, in no particular order: those of the named open
+// requests, and the reserved ones.
 func (r *Requests) Names() []RequestName {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Collect(maps.Keys(r.names))
+	names := slices.Collect(maps.Keys(r.names))
+	for name := range r.reserved {
+		if _, open := r.names[name]; !open {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
 // NextNumber returns a new number, for a request that is rejected without being added.
--- a/internal/registry/requests_test.go
+++ b/internal/registry/requests_test.go
@@ -23,6 +23,14 @@
 	if _, ok := current.Adopt(Request{Frontend: "line", Name: "a"}); !ok || add("a") {
 		t.Error("Adopt refuses a reserved name, or Add accepts the name after Adopt")
 	}
+	third := NewRequests()
+	if third.Reserve(current.Names()); len(current.Names()) != 3 {
+		t.Errorf("names %v, want the open a and c and the reserved b", current.Names())
+	}
+	third.Release([]RequestName{{Frontend: "line", Name: "b"}})
+	if _, ok := third.Add(Request{Frontend: "line", Name: "b"}); !ok {
+		t.Error("Add refuses a name whose reservation was released")
+	}
 	if current.ReleaseReservations(); add("a") || !add("b") {
 		t.Error("after ReleaseReservations, Add accepts the name of an open request, or refuses a free one")
 	}
--- a/internal/server/hotrestart.go
+++ b/internal/server/hotrestart.go
@@ -318,6 +318,7 @@
 	for _, endpoint := range state.Snapshot.Endpoints {
 		state.Names[endpoint.ID] = r.proxy.Endpoints.Name(endpoint.ID)
 	}
+	r.offeredNames.Store(&state.OpenRequests)
 	for _, limiter := range r.limiters {
 		state.SlotsInUse = append(state.SlotsInUse, limiter.SlotsInUse())
 	}
@@ -342,6 +343,12 @@
 	if paused || !r.shuttingDown.Load() {
 		r.handedOver.Store(paused)
 	}
+	if paused {
+		select {
+		case r.handoverBegun <- struct{}{}:
+		default:
+		}
+	}
 	r.proxy.SetSlowStartShare(slowStartShare)
 	r.limitMemory(memoryShare)
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -26,6 +26,7 @@
 	"lockroad/internal/hotrestart"
 	"lockroad/internal/listener"
 	"lockroad/internal/proxy"
+	"lockroad/internal/registry"
 	"lockroad/internal/throttle"
 )
 
@@ -75,9 +76,11 @@
 
 	ready          atomic.Bool // new clients are admitted
 	shuttingDown   atomic.Bool
-	handedOver     atomic.Bool               // a successor serves the clients, or did when the shutdown began
-	reloadedAt     atomic.Pointer[time.Time] // of the last reload; nil: there was none
-	reloadRequests chan reloadRequest        // from the console
+	handedOver     atomic.Bool                            // a successor serves the clients, or did when the shutdown began
+	handoverBegun  chan struct{}                          // receives a value when handedOver becomes true; buffered
+	offeredNames   atomic.Pointer[[]registry.RequestName] // names of requests in the last offer to a successor
+	reloadedAt     atomic.Pointer[time.Time]              // of the last reload; nil: there was none
+	reloadRequests chan reloadRequest                     // from the console
 
 	shutdownOnce      sync.Once     // guards closing shutdownRequested
 	shutdownRequested chan struct{} // closed when the console requests a shutdown
@@ -93,6 +96,7 @@
 		predecessorGone:   make(chan struct{}),
 		reloadRequests:    make(chan reloadRequest),
 		shutdownRequested: make(chan struct{}),
+		handoverBegun:     make(chan struct{}, 1),
 	}
 	r.persistence = newPersistentState(r)
 	return r
--- a/internal/server/start.go
+++ b/internal/server/start.go
@@ -177,6 +177,7 @@
 	r.ready.Store(true)
 	if r.asPredecessor != nil {
 		group.Go(func() error { return r.asPredecessor.Serve(ctx) })
+		group.Go(func() error { return r.releaseNames(ctx) })
 	}
 	r.log.Info("relay ready", "name", r.config.Name, "listen", r.config.Listen)
 }
--- a/internal/server/successorcalls.go
+++ b/internal/server/successorcalls.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lockroad/internal/hotrestart"
+	"lockroad/internal/registry"
 )
 
 // While two processes of the relay run, the console belongs to the older one and the clients are served by the
@@ -21,6 +22,7 @@
 	methodDirectives hotrestart.Method = "orders"   // put a directiveState into force
 	methodReload     hotrestart.Method = "reload"   // reload the configuration; reloadCall, reloadReply
 	methodRequests   hotrestart.Method = "requests" // requestsReply
+	methodEnded      hotrestart.Method = "ended"    // release the names of endedCall
 )
 
 // currentState is the state that may change between the offer to a successor and its takeover. A successor of
@@ -40,6 +42,11 @@
 	Changes []string `json:"Changes"`
 }
 
+// endedCall is the argument of methodEnded.
+type endedCall struct {
+	Names []registry.RequestName `json:"Names"` // of requests that have ended in the older process
+}
+
 // requestsReply is the result of methodRequests: the number of requests at each endpoint, by name.
 type requestsReply struct {
 	Requests map[string]int `json:"Requests"`
@@ -136,6 +143,13 @@
 		}
 		changes, err := r.requestReload(ctx, call.DryRun)
 		return reloadReply{Changes: changes}, err
+	case methodEnded:
+		var call endedCall
+		if err := json.Unmarshal(argument, &call); err != nil {
+			return nil, err
+		}
+		r.proxy.Requests.Release(call.Names)
+		return nil, nil
 	case methodRequests:
 		return requestsReply{Requests: r.requestsByEndpoint(ctx)}, nil
 	}
