Keep a site's health and slow starts through a reload that changes its servers

A server that was down was listed as up.

Cause: Prober.Replace listed each changed server as ready since long ago, whatever its probes had shown.

Change: the health tracker reports a changed server again, with its state and the time of its recovery.

--- a/internal/healthcheck/prober/prober.go
+++ b/internal/healthcheck/prober/prober.go
@@ -80,7 +80,7 @@
 	p.tracker.Replace(endpointNames(endpoints), p.Proxy.Clock.Now())
 	for _, endpoint := range endpoints {
 		if old, ok := findEndpoint(previous, endpoint.Name); ok && old != endpoint {
-			p.publish(endpoint, balancer.StateReady, 0) // its address, zone or size has changed
+			p.tracker.ReportAgain(endpoint.Name) // its address, zone or size has changed, but not its health
 		}
 	}
 	p.publishChanges()
--- a/internal/healthcheck/tracker.go
+++ b/internal/healthcheck/tracker.go
@@ -202,6 +202,13 @@
 	return changes
 }
 
+// ReportAgain makes the next call of Changes return an endpoint whose listing has not changed.
+func (t *Tracker) ReportAgain(name string) {
+	if record := t.findEndpoint(name); record != nil {
+		record.reported = Change{}
+	}
+}
+
 // Health returns the health of all endpoints, sorted by name.
 func (t *Tracker) Health(now time.Duration) (all []EndpointHealth) {
 	for _, record := range t.endpoints {
