Merge a newer process's orders beside its answers, and join none that is ending

Cause, found by rereading: a process that yields to a newer one merged the newer one's orders on the goroutine that receives its answers. An order at the console at that moment holds the lock that merging needs, and waits for an answer: it would have been refused after 1.5 s. A newer process that has SIGTERM took an older one on, which then had to resume a moment later.

Change: the merge has a goroutine of its own; a process that is ending rejects an older one, which goes on serving.

Result: the tests of hotrestart pass 8 times under the race detector. Neither moment was forced in a test.

--- a/internal/hotrestart/rejoin.go
+++ b/internal/hotrestart/rejoin.go
@@ -120,7 +120,15 @@
 	}
 	successor.pid = answer.PID
 	close(successor.serving)
-	return p.handler.MergeState(answer.State)
+	go p.mergeAnswer(answer.State) // it may wait for a call, whose result this goroutine receives
+	return nil
+}
+
+// mergeAnswer applies the state of the newer process.
+func (p *Predecessor) mergeAnswer(state json.RawMessage) {
+	if err := p.handler.MergeState(state); err != nil {
+		p.log.Warn("state of newer process rejected", "error", err)
+	}
 }
 
 // serveOlderProcess serves a process that has found this one's socket in place of its
@@ -131,6 +139,10 @@
 		_ = conn.send(messageTimeout, kindReject, fmt.Sprintf("a rejoin of format %d was expected", ProtocolVersion)) // the other process may have exited
 		return
 	}
+	if p.isShuttingDown() {
+		_ = conn.send(messageTimeout, kindReject, "this process is ending")
+		return
+	}
 	if err := p.handler.MergeState(request.State); err != nil {
 		_ = conn.send(messageTimeout, kindReject, err.Error())
 		return
