Fix the encoding of calls between two processes by golden files

Tests alone: golden files of the states, calls and results that processes of different releases exchange.

--- a/internal/server/encoding_test.go
+++ b/internal/server/encoding_test.go
@@ -7,6 +7,7 @@
 	"lockroad/balancer"
 	"lockroad/internal/discovery"
 	"lockroad/internal/frontend/line"
+	"lockroad/internal/hotrestart"
 	"lockroad/internal/persistence"
 	"lockroad/internal/registry"
 	"lockroad/internal/testutil"
@@ -59,3 +60,27 @@
 func TestHandoffStateFieldsAreTagged(t *testing.T) {
 	testutil.RequireTags(t, []string{"json"}, handoffState{})
 }
+
+// Two processes of different releases exchange this JSON in calls and states, so it must not change.
+func TestCallEncodingIsStable(t *testing.T) {
+	state := currentState{
+		Directives: directiveState{Revision: 7, Directives: completeState().DrainDirectives, Added: "s-1"},
+		ReloadedAt: time.Date(2026, 7, 8, 9, 10, 11, 123456789, time.UTC),
+	}
+	ended := endedCall{Names: completeState().OpenRequests}
+	testutil.RequireComplete(t, state)
+	testutil.GoldenJSON(t, "testdata/current-state.json", state)
+	testutil.GoldenJSON(t, "testdata/current-state-zero.json", currentState{})
+	testutil.GoldenJSON(t, "testdata/reload-call.json", reloadCall{DryRun: true})
+	testutil.GoldenJSON(t, "testdata/reload-reply.json", reloadReply{Changes: []string{"a change"}})
+	testutil.GoldenJSON(t, "testdata/requests-reply.json", requestsReply{Requests: map[string]int{"s-1": 3}})
+	testutil.GoldenJSON(t, "testdata/ended-call.json", ended)
+	for _, message := range []any{currentState{}, reloadCall{}, reloadReply{}, requestsReply{}, endedCall{}} {
+		testutil.RequireTags(t, []string{"json"}, message)
+	}
+	for method, want := range map[hotrestart.Method]string{methodDirectives: "orders", methodReload: "reload", methodRequests: "requests", methodEnded: "ended"} {
+		if string(method) != want {
+			t.Errorf("method %q, want %q", method, want)
+		}
+	}
+}
