Carry out the calls of a predecessor that ends, and keep orders given before the store opens

Found by rereading the orders during an upgrade: - A successor dropped calls that waited when its predecessor ended. An order that it was late to confirm had been refused, and the call that took it back could be lost: the order stayed in force. All calls are carried out now. - Where the predecessor had not passed on its last orders and released its store late, the stored orders replaced those confirmed here since. The latter come on top now, and are stored. - A process that merged newer orders of an older one did not pass them on; names whose end nobody was told counted as told; Adopt left a name free between two locks. Mended, without a test that forces these moments. - "may have carried it out" was said of orders to drain, which are taken back; it is said of reloads alone.

--- a/internal/hotrestart/answering.go
+++ b/internal/hotrestart/answering.go
@@ -12,7 +12,8 @@
 var errTooManyCalls = errors.New("too many calls are waiting")
 
 // CallFunc carries out a call of the predecessor. Its result is encoded in JSON. The
-// context ends when the predecessor is lost, or stops waiting for the result.
+// context ends when the predecessor stops waiting for the result, or when this process
+// shuts down.
 type CallFunc func(ctx context.Context, method Method, argument json.RawMessage) (result any, err error)
 
 // callQueue answers calls on a goroutine of its own, so that a slow call does not
@@ -20,13 +21,11 @@
 type callQueue struct {
 	channel channel
 	pending chan callMessage
-	cancel  context.CancelFunc
 	done    chan struct{} // closed once the goroutine has ended
 }
 
 func (s *Successor) startAnswering(ctx context.Context, answer CallFunc) *callQueue {
-	ctx, cancel := context.WithCancel(ctx)
-	queue := &callQueue{channel: s.channel, pending: make(chan callMessage, maxQueuedCalls), cancel: cancel, done: make(chan struct{})}
+	queue := &callQueue{channel: s.channel, pending: make(chan callMessage, maxQueuedCalls), done: make(chan struct{})}
 	go queue.run(ctx, answer)
 	return queue
 }
@@ -41,8 +40,9 @@
 	}
 }
 
-// run answers calls until pending is closed. Calls that are queued when ctx ends are
-// dropped.
+// run carries out all calls until pending is closed, also those that arrived just before
+// the predecessor ended: one may take back an earlier one. Calls that are queued when ctx
+// ends are dropped.
 func (q *callQueue) run(ctx context.Context, answer CallFunc) {
 	defer close(q.done)
 	for call := range q.pending {
@@ -53,7 +53,7 @@
 		result, err := answer(callContext, call.Method, call.Argument)
 		cancel()
 		if q.respond(call.Number, result, err) != nil {
-			q.channel.Close() // ends Adopt
+			q.channel.Close() // ends Adopt, if the predecessor has not done so
 		}
 	}
 }
@@ -73,9 +73,8 @@
 	return q.channel.send(messageTimeout, kindResult, response)
 }
 
-// stop cancels the call in progress and waits for the goroutine.
+// stop waits until the calls that have arrived are carried out.
 func (q *callQueue) stop() {
-	q.cancel()
 	close(q.pending)
 	<-q.done
 }
--- a/internal/hotrestart/calls_test.go
+++ b/internal/hotrestart/calls_test.go
@@ -97,6 +97,36 @@
 	})
 }
 
+// The calls of a predecessor that ends were dropped if they waited for another one: a refused order could stay in force,
+// as the call that took it back was lost.
+func TestCallsOfAnEndedPredecessorAreCarriedOut(t *testing.T) {
+	near, far := socketPair(t)
+	carriedOut := make(chan Method, 2)
+	serveCalls(t, &Successor{channel: far}, func(ctx context.Context, method Method, _ json.RawMessage) (any, error) {
+		if method == "order" {
+			<-ctx.Done() // as if its own successor did not answer
+		}
+		carriedOut <- method
+		return nil, nil
+	})
+	for i, method := range []Method{"order", "undo"} {
+		if err := near.send(time.Second, kindCall, callMessage{Number: i, Method: method, Timeout: 200 * time.Millisecond}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	near.CloseWrite()
+	for _, want := range []Method{"order", "undo"} {
+		select {
+		case method := <-carriedOut:
+			if method != want {
+				t.Errorf("%s was carried out, want %s", method, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("%s was not carried out", want)
+		}
+	}
+}
+
 // A successor of a release without calls would take one for a protocol error, and the predecessor would serve beside it.
 func TestSuccessorWithoutCallsGetsNone(t *testing.T) {
 	predecessor, _ := startPredecessor(t)
--- a/internal/registry/requests.go
+++ b/internal/registry/requests.go
@@ -66,6 +66,11 @@
 func (r *Requests) Add(request Request) (number uint64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.add(request)
+}
+
+// add is Add for a caller that holds mu.
+func (r *Requests) add(request Request) (number uint64, ok bool) {
 	name := request.requestName()
 	_, open := r.names[name]
 	if _, reserved := r.reserved[name]; open || reserved {
@@ -111,9 +116,9 @@
 // name. It fails like Add.
 func (r *Requests) Adopt(request Request) (number uint64, ok bool) {
 	r.mu.Lock()
-	delete(r.reserved, request.requestName())
-	r.mu.Unlock()
-	return r.Add(request)
+	defer r.mu.Unlock()
+	delete(r.reserved, request.requestName()) // together with add, so that Names lists the name all the time
+	return r.add(request)
 }
 
 // Names returns the names that Add refuses, in no particular order: those of the named open
--- a/internal/server/draindirectives.go
+++ b/internal/server/draindirectives.go
@@ -68,22 +68,39 @@
 
 // reconcileDirectives makes the directives in force and those in the store equal, once the predecessor has released
 // the store. If the predecessor passed on all of its changes, those in force count: it may have been killed before
-// it saved the last one. Otherwise the store has its last changes.
+// it saved the last one. Otherwise the store has its last changes, and those made here since then come on top.
 func (p *persistentState) reconcileDirectives(ctx context.Context) {
 	p.changeMu.Lock()
 	defer p.changeMu.Unlock()
 	saved := p.readDirectives()
 	p.mu.Lock()
 	opened, inSync := p.store != nil, p.inSync
-	revision := p.revision
 	p.mu.Unlock()
-	switch {
-	case !opened: // keep the directives that were handed over
-	case inSync:
-		p.saveDifferences(ctx, saved)
-	default:
-		p.installDirectives(directiveState{Revision: revision, Directives: saved})
+	if !opened {
+		return // keep the directives that were handed over
 	}
+	if !inSync {
+		p.installDirectives(p.withUnsaved(saved))
+	}
+	p.saveDifferences(ctx, saved)
+}
+
+// withUnsaved returns the stored directives with the changes made here while no store was open.
+func (p *persistentState) withUnsaved(saved []persistence.DrainDirective) directiveState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := directiveState{Revision: p.revision}
+	for _, directive := range saved {
+		if !p.unsaved[directive.Endpoint] {
+			state.Directives = append(state.Directives, directive)
+		}
+	}
+	for endpoint, directive := range p.directives {
+		if p.unsaved[endpoint] {
+			state.Directives = append(state.Directives, directive)
+		}
+	}
+	return state
 }
 
 // saveDifferences saves the directives in force that the store lacks, and removes from it those that are not in
@@ -132,7 +149,7 @@
 	for endpoint, directive := range p.directives {
 		p.proxy.SetDrain(endpoint, true)
 		if old, known := previous[endpoint]; !known || !old.Equal(&directive) {
-			p.relay.log.Info("drain directive restored", "server", endpoint, "who", directive.By, "since", directive.Since, "why", directive.Reason)
+			p.relay.log.Info("drain directive in force", "server", endpoint, "who", directive.By, "since", directive.Since, "why", directive.Reason)
 		}
 	}
 }
@@ -150,11 +167,16 @@
 	p.changeMu.Lock()
 	defer p.changeMu.Unlock()
 	p.mu.Lock()
-	newer := state.Revision >= p.revision
+	previous := p.revision
 	p.inSync = true
 	p.mu.Unlock()
-	if newer {
-		p.installDirectives(state)
+	if state.Revision < previous {
+		return
+	}
+	p.installDirectives(state)
+	p.relay.publishState()
+	if state.Revision > previous {
+		p.resendNeeded = true // a successor that serves already learns it with the next tick
 	}
 }
 
@@ -195,6 +217,9 @@
 		p.directives[endpoint] = *directive
 	}
 	p.revision++
+	if p.store == nil {
+		p.unsaved[endpoint] = true
+	}
 	p.proxy.SetDrain(endpoint, directive != nil)
 	return previous
 }
--- a/internal/server/persistentstate.go
+++ b/internal/server/persistentstate.go
@@ -26,12 +26,13 @@
 	changeMu     sync.Mutex // held while a directive is changed, passed on and committed; locked before mu
 	resendNeeded bool       // the successor may have other directives; guarded by changeMu
 
-	mu         sync.Mutex // guards the fields up to inSync
+	mu         sync.Mutex // guards the fields up to unsaved
 	store      *store.Store
 	storeErr   error                                 // why store is nil
 	directives map[string]persistence.DrainDirective // in force, by endpoint name
 	revision   uint64                                // of directives, see directiveState
 	inSync     bool                                  // the predecessor has passed on all changes of its directives
+	unsaved    map[string]bool                       // endpoints whose directives were changed here while no store was open
 
 	settleOnce   sync.Once     // guards closing storeSettled
 	storeSettled chan struct{} // closed once opening the store has succeeded, failed or taken too long
@@ -43,7 +44,7 @@
 )
 
 func newPersistentState(r *relay) *persistentState {
-	return &persistentState{relay: r, directives: make(map[string]persistence.DrainDirective), storeSettled: make(chan struct{})}
+	return &persistentState{relay: r, directives: make(map[string]persistence.DrainDirective), unsaved: make(map[string]bool), storeSettled: make(chan struct{})}
 }
 
 // deferToPredecessor leaves the store closed while the predecessor holds it.
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -53,6 +54,9 @@
 func (r *relay) reloadSuccessor(ctx context.Context, dryRun bool) (changes []string, served bool, err error) {
 	var reply reloadReply
 	served, err = r.callSuccessor(ctx, methodReload, reloadCall{DryRun: dryRun}, &reply)
+	if errors.Is(err, context.DeadlineExceeded) && !dryRun {
+		err = fmt.Errorf("%w; it may have reloaded all the same", err)
+	}
 	return reply.Changes, served, err
 }
 
--- a/internal/server/requestnames.go
+++ b/internal/server/requestnames.go
@@ -51,8 +51,9 @@
 	if len(ended) == 0 {
 		return
 	}
-	if _, err := r.callSuccessor(ctx, methodEnded, endedCall{Names: ended}, nil); err != nil {
-		return // repeated with the next look, unless all are released with this process's end
+	served, err := r.callSuccessor(ctx, methodEnded, endedCall{Names: ended}, nil)
+	if err != nil || !served {
+		return // repeated with the next look; a newer process may serve by then
 	}
 	for _, name := range ended {
 		delete(reserved, name)
--- a/internal/server/successorcalls.go
+++ b/internal/server/successorcalls.go
@@ -80,7 +80,7 @@
 	case errors.As(err, &rejected):
 		return true, errors.New(rejected.Text)
 	}
-	return true, fmt.Errorf("the process that serves the clients did not confirm this, and may have carried it out: %w", err)
+	return true, fmt.Errorf("the process that serves the clients did not confirm this: %w", err)
 }
 
 // publishState sends currentState to a successor that is about to take over. It is called after each change.
